--- /dev/null
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -0,0 +1,85 @@
+//! The numbered events.
+//!
+//! Numbers by area: 1xx life of the daemon, 2xx configuration and roster, 3xx admission, 4xx
+//! routing and retries, 5xx keys and suspects, 6xx control traffic.
+
+/// How serious an event is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Severity {
+    /// Something is broken and needs a person.
+    Error,
+    /// Something is wrong that the system handles for now.
+    Warning,
+    /// Normal life.
+    Info,
+}
+
+/// An event that a daemon can log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Number; it never changes its meaning.
+    pub number: u16,
+    /// Short name.
+    pub name: &'static str,
+    /// How serious it is.
+    pub severity: Severity,
+    /// What happened.
+    pub meaning: &'static str,
+    /// What an operator should do.
+    pub action: &'static str,
+}
+
+macro_rules! events {
+    ($($id:ident $number:literal $severity:ident $name:literal $meaning:literal $action:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $id: Event = Event {
+                number: $number,
+                name: $name,
+                severity: Severity::$severity,
+                meaning: $meaning,
+                action: $action,
+            };
+        )*
+
+        /// Every event, in the order of the numbers.
+        pub const ALL: &[Event] = &[$($id),*];
+    };
+}
+
+events! {
+    STARTED 100 Info "started"
+        "The daemon listens on its ports." "Nothing.";
+    STOPPING 101 Info "stopping"
+        "The daemon was asked to stop; it refuses new work and finishes what runs." "Nothing.";
+    STOPPED 102 Info "stopped"
+        "All running work finished and the daemon ends." "Nothing.";
+    PAUSED 103 Warning "paused"
+        "The daemon did not run for a while; it refuses work until its view is confirmed."
+        "If it recurs, look for an overloaded or suspended host.";
+    CONFIRMED 104 Info "confirmed"
+        "After a pause, the view was confirmed and work is taken again." "Nothing.";
+    CONFIG_ACCEPTED 200 Info "config-accepted"
+        "A configuration version is in force." "Nothing.";
+    CONFIG_REJECTED 201 Error "config-rejected"
+        "A published configuration has findings; the former one stays in force."
+        "Run `basilbay check` on the file and publish a corrected one with a higher version.";
+    CONFIG_CONFLICT 202 Error "config-conflict"
+        "Two different configurations carry the same version; the first one stays in force."
+        "Publish the intended file with a higher version.";
+    CONFIG_OLDER 203 Warning "config-older"
+        "A source offered a version older than the one in force; it was ignored."
+        "If it persists, look for a stale replica of the configuration service.";
+    ROSTER_ACCEPTED 204 Info "roster-accepted"
+        "A new version of the instance list is in use." "Nothing.";
+    PLATFORM_UNREACHABLE 205 Warning "platform-unreachable"
+        "The configuration service or the instance list does not answer."
+        "The fleet serves on; restore the service before the next change.";
+    TARGET_DOWN 300 Error "target-down"
+        "The target refuses connections or reset all of them."
+        "Look at the target's own log; the daemon retries by itself.";
+    TARGET_COLD 301 Warning "target-cold"
+        "The target is on the ramp of a cold start." "Nothing; work returns with completions.";
+    TARGET_WARM 302 Info "target-warm"
+        "The target completed its cold start." "Nothing.";
+}
--- /dev/null
+++ b/crates/basilbay_load/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/basilbay_model/src/service.rs
@@ -0,0 +1,81 @@
+//! Services and the contract between a service's targets and the daemons beside them.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::domain::State;
+use crate::id::ServiceId;
+use crate::kind::Kind;
+
+/// How the entry role picks a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// Own domain first, two choices by age-discounted load, stragglers avoided.
+    #[default]
+    Basilbay,
+    /// Each target in turn.
+    RoundRobin,
+    /// A uniformly random target.
+    Random,
+    /// The target with the fewest own requests in flight.
+    LeastInFlight,
+    /// The better of two random targets by own requests in flight.
+    TwoChoices,
+}
+
+/// What one target of a service bears.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contract {
+    /// Requests a warm target runs at the same time.
+    pub slots: u32,
+    /// Connections a target accepts.
+    pub connections: u32,
+    /// Requests that may wait for a slot.
+    pub queue: u32,
+    /// Requests a cold target bears at the same time.
+    pub cold_slots: u32,
+    /// Completions after which a cold target counts as warm.
+    pub warm_after: u32,
+    /// Share of the target's time that measuring may take, in parts per thousand.
+    pub probe_permille: u32,
+    /// Time the target spends on one probe.
+    pub probe_cost: Duration,
+}
+
+impl Default for Contract {
+    fn default() -> Self {
+        Self {
+            slots: 18,
+            connections: 240,
+            queue: 18,
+            cold_slots: 2,
+            warm_after: 200,
+            probe_permille: 10,
+            probe_cost: Duration::from_millis(6),
+        }
+    }
+}
+
+/// A service, its kinds of request and what its targets bear.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Its id.
+    pub id: ServiceId,
+    /// What operators asked for.
+    pub state: State,
+    /// How targets are picked.
+    pub policy: Policy,
+    /// What one target bears.
+    pub contract: Contract,
+    /// Kinds of request, the longest path prefix first.
+    pub kinds: Vec<Kind>,
+}
+
+impl Service {
+    /// Finds the kind that a request belongs to.
+    pub fn kind(&self, method: &str, path: &str) -> Option<&Kind> {
+        self.kinds.iter().find(|kind| kind.matches(method, path))
+    }
+}
--- /dev/null
+++ b/crates/basilbay_wire/src/header.rs
@@ -0,0 +1,40 @@
+//! Names of the headers that basilbay reads and writes.
+
+/// Says whether a request that basilbay answers itself has run: `not-run` or `unknown`.
+pub const OUTCOME: &str = "basilbay-outcome";
+
+/// Marks an answer that was stored by an earlier run of the same key.
+pub const REPLAYED: &str = "basilbay-replayed";
+
+/// Milliseconds that the caller gives the request.
+pub const TIMEOUT_MS: &str = "basilbay-timeout-ms";
+
+/// Extra attempts that the rest of the call chain may use.
+pub const ALLOWANCE: &str = "basilbay-allowance";
+
+/// Number of calls above this one in its chain.
+pub const DEPTH: &str = "basilbay-depth";
+
+/// Key under which a request runs at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// W3C trace context.
+pub const TRACEPARENT: &str = "traceparent";
+
+/// The encoded [`crate::hop::Hop`] of a forwarded request.
+pub const HOP: &str = "basilbay-hop";
+
+/// The encoded [`crate::load::Load`] of the daemon that answers.
+pub const LOAD: &str = "basilbay-load";
+
+/// Largest header section of a request, in bytes.
+pub const MAX_SECTION_BYTES: usize = 16 * 1024;
+
+/// Largest number of headers of a request.
+pub const MAX_COUNT: usize = 64;
+
+/// Deepest call chain.
+pub const MAX_DEPTH: u8 = 12;
+
+/// Longest idempotency key, in bytes.
+pub const MAX_KEY_BYTES: usize = 128;
--- /dev/null
+++ b/crates/basilbay_wire/src/problem.rs
@@ -0,0 +1,230 @@
+//! Answers that basilbay makes itself, as problem documents (RFC 9457).
+
+use std::fmt;
+use std::sync::Arc;
+
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+
+/// Content type of a problem document.
+pub const CONTENT_TYPE: &str = "application/problem+json";
+
+/// Whether the request of a problem document has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It has not run and will not run.
+    NotRun,
+    /// It may have run, or may yet run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Value of the outcome header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Reads the value of the outcome header.
+    pub fn parse(value: &str) -> Option<Self> {
+        match value {
+            "not-run" => Some(Self::NotRun),
+            "unknown" => Some(Self::Unknown),
+            _ => None,
+        }
+    }
+}
+
+/// What went wrong; each cause has one type, status and title.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// A header cannot be read.
+    BadRequest,
+    /// No such service, or no kind for the path.
+    UnknownService,
+    /// The header section is too large.
+    HeadersTooLarge,
+    /// The call chain is too deep.
+    TooDeep,
+    /// The key was used with another content.
+    KeyReused,
+    /// No target has room.
+    NoCapacity,
+    /// The service is out, or all its failure domains are.
+    ServiceOut,
+    /// The target or the daemon is leaving.
+    Leaving,
+    /// The daemon has no confirmed view.
+    Unconfirmed,
+    /// The request crashed targets before.
+    Poisoned,
+    /// The deadline passed.
+    DeadlinePassed,
+    /// The target failed while the request was with it.
+    TargetFailed,
+    /// The daemon that owns the key cannot say whether it ran.
+    KeyUnknown,
+    /// The daemon on the way could not be reached or went away.
+    PeerFailed,
+}
+
+impl Cause {
+    /// Every cause, for the reference page and its test.
+    pub const ALL: [Self; 14] = [
+        Self::BadRequest,
+        Self::UnknownService,
+        Self::HeadersTooLarge,
+        Self::TooDeep,
+        Self::KeyReused,
+        Self::NoCapacity,
+        Self::ServiceOut,
+        Self::Leaving,
+        Self::Unconfirmed,
+        Self::Poisoned,
+        Self::DeadlinePassed,
+        Self::TargetFailed,
+        Self::KeyUnknown,
+        Self::PeerFailed,
+    ];
+
+    /// HTTP status of the answer.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::UnknownService => StatusCode::NOT_FOUND,
+            Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::TooDeep => StatusCode::LOOP_DETECTED,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::NoCapacity | Self::ServiceOut | Self::Leaving | Self::Unconfirmed => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Poisoned => StatusCode::FORBIDDEN,
+            Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            Self::TargetFailed | Self::KeyUnknown | Self::PeerFailed => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Last part of the type URI.
+    pub fn slug(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad-request",
+            Self::UnknownService => "unknown-service",
+            Self::HeadersTooLarge => "headers-too-large",
+            Self::TooDeep => "too-deep",
+            Self::KeyReused => "key-reused",
+            Self::NoCapacity => "no-capacity",
+            Self::ServiceOut => "service-out",
+            Self::Leaving => "leaving",
+            Self::Unconfirmed => "unconfirmed",
+            Self::Poisoned => "poisoned",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::TargetFailed => "target-failed",
+            Self::KeyUnknown => "key-unknown",
+            Self::PeerFailed => "peer-failed",
+        }
+    }
+
+    /// Short title.
+    pub fn title(self) -> &'static str {
+        match self {
+            Self::BadRequest => "The request cannot be read",
+            Self::UnknownService => "No such service or path",
+            Self::HeadersTooLarge => "The headers are too large",
+            Self::TooDeep => "The call chain is too deep",
+            Self::KeyReused => "The idempotency key was used for another request",
+            Self::NoCapacity => "No target has room",
+            Self::ServiceOut => "The service takes no work",
+            Self::Leaving => "The target is leaving",
+            Self::Unconfirmed => "The daemon is confirming its view",
+            Self::Poisoned => "The request crashes its targets",
+            Self::DeadlinePassed => "The deadline passed",
+            Self::TargetFailed => "The target failed",
+            Self::KeyUnknown => "It is unknown whether the key ran",
+            Self::PeerFailed => "A daemon on the way failed",
+        }
+    }
+
+    /// Whether another target may still take the request.
+    pub fn is_local(self) -> bool {
+        matches!(
+            self,
+            Self::NoCapacity
+                | Self::ServiceOut
+                | Self::Leaving
+                | Self::Unconfirmed
+                | Self::TargetFailed
+                | Self::PeerFailed
+        )
+    }
+}
+
+/// A problem: its cause, what is known of the request, and the details.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// What went wrong.
+    pub cause: Cause,
+    /// Whether the request has run.
+    pub outcome: Outcome,
+    /// What exactly happened, for a person.
+    pub detail: Arc<str>,
+}
+
+impl Problem {
+    /// A problem with a request that has not run.
+    pub fn not_run(cause: Cause, detail: impl Into<Arc<str>>) -> Self {
+        Self {
+            cause,
+            outcome: Outcome::NotRun,
+            detail: detail.into(),
+        }
+    }
+
+    /// A problem with a request that may have run.
+    pub fn unknown(cause: Cause, detail: impl Into<Arc<str>>) -> Self {
+        Self {
+            cause,
+            outcome: Outcome::Unknown,
+            detail: detail.into(),
+        }
+    }
+
+    /// The problem document; `instance` names the daemon that made it.
+    pub fn document(&self, instance: &str) -> Document {
+        Document {
+            kind: Arc::from(format!("urn:basilbay:problem:{}", self.cause.slug())),
+            title: Arc::from(self.cause.title()),
+            status: self.cause.status().as_u16(),
+            detail: self.detail.clone(),
+            instance: Arc::from(instance),
+            outcome: self.outcome,
+        }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let outcome = self.outcome.as_str();
+        write!(out, "{}: {} ({outcome})", self.cause.title(), self.detail)
+    }
+}
+
+/// A problem document as it is sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// Type URI of the cause.
+    #[serde(rename = "type")]
+    pub kind: Arc<str>,
+    /// Short title.
+    pub title: Arc<str>,
+    /// HTTP status.
+    pub status: u16,
+    /// What exactly happened.
+    pub detail: Arc<str>,
+    /// The daemon that made the document.
+    pub instance: Arc<str>,
+    /// Whether the request has run.
+    pub outcome: Outcome,
+}
