--- /dev/null
+++ b/crates/basilbay_daemon/src/body.rs
@@ -0,0 +1,134 @@
+//! Bodies that are passed on: kept in memory while small, streamed otherwise.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Empty, Full};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+
+/// A body on its way to a caller, a daemon or a target.
+pub type Body = UnsyncBoxBody<Bytes, Error>;
+
+/// Why a body broke off.
+pub type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// Result of reading a body.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Largest body that is kept in memory; larger ones are streamed and cannot be sent twice.
+pub const MAX_KEPT_BYTES: usize = 64 * 1024;
+
+/// A body without content.
+pub fn empty() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body with known content.
+pub fn full(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body as it was received.
+pub enum Received {
+    /// All of it.
+    Kept(Bytes),
+    /// Its first part, and the rest as it comes.
+    Streaming(Bytes, Incoming),
+}
+
+impl Received {
+    /// Reads a body until its end, or until it is too large to keep.
+    pub async fn read(mut incoming: Incoming) -> Result<Self> {
+        if incoming.is_end_stream() {
+            return Ok(Self::Kept(Bytes::new()));
+        }
+        let mut kept = BytesMut::new();
+        while let Some(frame) = incoming.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                kept.extend_from_slice(&data);
+            }
+            if kept.len() > MAX_KEPT_BYTES {
+                return Ok(Self::Streaming(kept.freeze(), incoming));
+            }
+        }
+        Ok(Self::Kept(kept.freeze()))
+    }
+
+    /// The first part of the body.
+    pub fn prefix(&self) -> &[u8] {
+        match self {
+            Self::Kept(bytes) | Self::Streaming(bytes, _) => bytes,
+        }
+    }
+
+    /// Takes the body for one attempt; only a kept one can be taken again.
+    pub fn take(&mut self) -> Option<Body> {
+        match self {
+            Self::Kept(bytes) => Some(full(bytes.clone())),
+            Self::Streaming(..) => {
+                let taken = std::mem::replace(self, Self::Kept(Bytes::new()));
+                let Self::Streaming(prefix, rest) = taken else {
+                    return None;
+                };
+                Some(Prefixed::new(prefix, rest).boxed_unsync())
+            }
+        }
+    }
+
+    /// Whether the body can be taken again.
+    pub fn is_kept(&self) -> bool {
+        matches!(self, Self::Kept(_))
+    }
+}
+
+/// Bytes that were read already, followed by the rest of a body.
+struct Prefixed {
+    prefix: Option<Bytes>,
+    rest: Incoming,
+}
+
+impl Prefixed {
+    fn new(prefix: Bytes, rest: Incoming) -> Self {
+        Self {
+            prefix: Some(prefix),
+            rest,
+        }
+    }
+}
+
+impl HttpBody for Prefixed {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>>>> {
+        if let Some(prefix) = self.prefix.take() {
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
+        Pin::new(&mut self.rest)
+            .poll_frame(context)
+            .map(|frame| frame.map(|result| result.map_err(Into::into)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.prefix.is_none() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let mut hint = self.rest.size_hint();
+        if let Some(prefix) = &self.prefix {
+            let length = prefix.len() as u64;
+            hint.set_lower(hint.lower() + length);
+            if let Some(upper) = hint.upper() {
+                hint.set_upper(upper + length);
+            }
+        }
+        hint
+    }
+}
--- /dev/null
+++ b/crates/basilbay_daemon/src/errand.rs
@@ -0,0 +1,137 @@
+//! A request on its way through the daemon.
+
+use std::time::Instant;
+
+use http::request::Parts;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, Uri};
+
+use basilbay_model::id::{InstanceId, Version};
+use basilbay_wire::frame::{self, FORMAT};
+use basilbay_wire::header;
+use basilbay_wire::hop::{Hop, Role};
+
+use crate::answer;
+use crate::body::Body;
+use crate::intake::Intake;
+use crate::trace::Context;
+
+/// What is known of a request besides its body.
+#[derive(Clone, Debug)]
+pub struct Errand {
+    /// What the caller asks for.
+    pub intake: Intake,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: PathAndQuery,
+    /// The caller's headers, without those that basilbay reads itself.
+    pub headers: HeaderMap,
+    /// When the request's time is up.
+    pub deadline: Instant,
+    /// Position in the trace.
+    pub trace: Context,
+    /// Hash that tells requests apart which crash their target.
+    pub fingerprint: u64,
+}
+
+impl Errand {
+    /// Puts together what the caller sent.
+    pub fn new(mut parts: Parts, intake: Intake, trace: Context, now: Instant) -> Self {
+        answer::strip_connection_headers(&mut parts.headers);
+        for name in [header::HOP, header::LOAD, header::OUTCOME, header::REPLAYED] {
+            parts.headers.remove(name);
+        }
+        Self {
+            deadline: now + intake.timeout,
+            intake,
+            method: parts.method,
+            path: path_of(&parts.uri),
+            headers: parts.headers,
+            trace,
+            fingerprint: 0,
+        }
+    }
+
+    /// Milliseconds that are left; 0 once the time is up.
+    pub fn timeout_ms(&self, now: Instant) -> u32 {
+        let left = self.deadline.saturating_duration_since(now);
+        u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
+    }
+
+    /// The hop that carries the request to another daemon.
+    pub fn hop(
+        &self,
+        origin: &InstanceId,
+        role: Role,
+        allowance: u8,
+        config_version: Version,
+        now: Instant,
+    ) -> Hop {
+        Hop {
+            format: FORMAT,
+            service: self.intake.service.clone(),
+            kind: self.intake.kind.clone(),
+            idempotent: self.intake.idempotent,
+            weight: self.intake.weight,
+            timeout_ms: self.timeout_ms(now),
+            allowance,
+            depth: self.intake.depth,
+            origin: origin.clone(),
+            config_version,
+            role,
+            fingerprint: self.fingerprint,
+        }
+    }
+
+    /// The request as another daemon gets it.
+    pub fn to_daemon(&self, hop: &Hop, trace: Context, body: Body) -> Request<Body> {
+        let mut request = self.request(trace, body);
+        answer::put(
+            request.headers_mut(),
+            header::HOP,
+            &frame::encode_header(hop),
+        );
+        let uri = Uri::builder()
+            .scheme("http")
+            .authority(&*self.intake.service)
+            .path_and_query(self.path.clone())
+            .build();
+        if let Ok(uri) = uri {
+            *request.uri_mut() = uri;
+        }
+        request.headers_mut().remove(http::header::HOST);
+        request
+    }
+
+    /// The request as the target gets it.
+    pub fn to_target(&self, allowance: u8, trace: Context, body: Body) -> Request<Body> {
+        let mut request = self.request(trace, body);
+        let left = self.timeout_ms(Instant::now()).to_string();
+        let headers = request.headers_mut();
+        answer::put(headers, header::TIMEOUT_MS, &left);
+        answer::put(headers, header::ALLOWANCE, &allowance.to_string());
+        answer::put(headers, header::DEPTH, &(self.intake.depth + 1).to_string());
+        answer::put(headers, "host", &self.intake.service);
+        request
+    }
+
+    fn request(&self, trace: Context, body: Body) -> Request<Body> {
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.path.clone());
+        *request.headers_mut() = self.headers.clone();
+        answer::put(
+            request.headers_mut(),
+            header::TRACEPARENT,
+            &trace.to_string(),
+        );
+        request
+    }
+}
+
+fn path_of(uri: &Uri) -> PathAndQuery {
+    uri.path_and_query()
+        .cloned()
+        .unwrap_or_else(|| PathAndQuery::from_static("/"))
+}
--- /dev/null
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -0,0 +1,203 @@
+//! Requests between daemons, seen from both ends.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::header::{HeaderValue, RETRY_AFTER};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use basilbay_model::id::InstanceId;
+use basilbay_wire::frame;
+use basilbay_wire::header;
+use basilbay_wire::hop::{Hop, Role};
+use basilbay_wire::load::Load;
+use basilbay_wire::problem::{Cause, Document, Outcome, Problem};
+
+use crate::answer::{self, Reply};
+use crate::body::{self, Body};
+use crate::daemon::Daemon;
+use crate::errand::Errand;
+use crate::intake::Intake;
+use crate::pool::Failure;
+use crate::target;
+use crate::trace::Context;
+
+/// Largest problem document that is read.
+const MAX_PROBLEM_BYTES: usize = 16 * 1024;
+
+/// What came back from another daemon.
+pub struct Return {
+    /// The answer or problem.
+    pub reply: Reply,
+    /// Load of that daemon's target.
+    pub load: Option<Load>,
+    /// Whether the daemon itself answered at all.
+    pub is_reachable: bool,
+}
+
+/// Sends a request to another daemon and waits for what comes back.
+pub async fn send(
+    daemon: &Arc<Daemon>,
+    errand: &Errand,
+    peer: &InstanceId,
+    address: SocketAddr,
+    role: Role,
+    allowance: u8,
+    body: Body,
+) -> Return {
+    let version = daemon.view().config.version;
+    let now = Instant::now();
+    let hop = errand.hop(&daemon.settings.id, role, allowance, version, now);
+    let trace = errand.trace.child(daemon.draw());
+    let request = errand.to_daemon(&hop, trace, body);
+    let link = daemon.links.to(peer, address);
+    let sent = tokio::time::timeout_at(errand.deadline.into(), link.send(request)).await;
+    let problem = match sent {
+        Ok(Ok(response)) => return read(response, errand.deadline).await,
+        Ok(Err(Failure::NotSent(error))) => {
+            Problem::not_run(Cause::PeerFailed, format!("{peer}: {error:#}"))
+        }
+        Ok(Err(Failure::Broken(error))) => {
+            Problem::unknown(Cause::PeerFailed, format!("{peer}: {error:#}"))
+        }
+        Err(_) => {
+            let detail = format!("{peer} did not answer before the deadline");
+            Problem::unknown(Cause::DeadlinePassed, detail)
+        }
+    };
+    Return {
+        reply: Reply::Problem(problem),
+        load: None,
+        is_reachable: false,
+    }
+}
+
+async fn read(response: Response<Incoming>, deadline: Instant) -> Return {
+    let load = response
+        .headers()
+        .get(header::LOAD)
+        .and_then(|value| frame::decode_header(value.as_bytes()).ok());
+    let outcome = response
+        .headers()
+        .get(header::OUTCOME)
+        .and_then(|value| value.to_str().ok())
+        .and_then(Outcome::parse);
+    let reading = async {
+        match outcome {
+            Some(outcome) => Reply::Problem(read_problem(response, outcome).await),
+            None => read_answer(response).await,
+        }
+    };
+    let reply = match tokio::time::timeout_at(deadline.into(), reading).await {
+        Ok(reply) => reply,
+        Err(_) => {
+            let detail = "the answer was not complete before the deadline";
+            Reply::Problem(Problem::unknown(Cause::DeadlinePassed, detail))
+        }
+    };
+    Return {
+        reply,
+        load,
+        is_reachable: true,
+    }
+}
+
+async fn read_answer(response: Response<Incoming>) -> Reply {
+    let is_small = answer::is_small(&response);
+    let (mut parts, incoming) = response.into_parts();
+    parts.headers.remove(header::LOAD);
+    if !is_small {
+        let body = incoming.map_err(body::Error::from).boxed_unsync();
+        return Reply::Answer(Response::from_parts(parts, body));
+    }
+    match incoming.collect().await {
+        Ok(collected) => {
+            let body = body::full(collected.to_bytes());
+            Reply::Answer(Response::from_parts(parts, body))
+        }
+        Err(error) => {
+            let detail = format!("the answer broke off: {error}");
+            Reply::Problem(Problem::unknown(Cause::PeerFailed, detail))
+        }
+    }
+}
+
+async fn read_problem(response: Response<Incoming>, outcome: Outcome) -> Problem {
+    let limited = Limited::new(response.into_body(), MAX_PROBLEM_BYTES);
+    let document = match limited.collect().await {
+        Ok(collected) => serde_json::from_slice::<Document>(&collected.to_bytes()).ok(),
+        Err(_) => None,
+    };
+    match document {
+        Some(document) => Problem {
+            outcome,
+            ..Problem::from_document(&document)
+        },
+        None => Problem {
+            cause: Cause::PeerFailed,
+            outcome,
+            detail: Arc::from("the daemon refused without a readable reason"),
+        },
+    }
+}
+
+/// Serves a request that another daemon sent.
+pub async fn serve(daemon: &Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
+    let now = Instant::now();
+    let reply = match receive(request, now) {
+        Ok((errand, hop, incoming)) => dispatch(daemon, errand, &hop, incoming).await,
+        Err(problem) => Reply::Problem(problem),
+    };
+    let mut response = match reply {
+        Reply::Answer(response) => response,
+        Reply::Problem(problem) => answer::of_problem(&problem, &daemon.settings.id),
+    };
+    let headers = response.headers_mut();
+    if headers.contains_key(header::OUTCOME) {
+        headers.insert(RETRY_AFTER, HeaderValue::from_static("0"));
+    }
+    let load = frame::encode_header(&daemon.admission.load());
+    answer::put(headers, header::LOAD, &load);
+    response
+}
+
+async fn dispatch(daemon: &Arc<Daemon>, errand: Errand, hop: &Hop, incoming: Incoming) -> Reply {
+    match hop.role {
+        Role::Run | Role::Home => {
+            let body = incoming.map_err(body::Error::from).boxed_unsync();
+            target::run(daemon, &errand, hop.allowance, body).await
+        }
+    }
+}
+
+fn receive(request: Request<Incoming>, now: Instant) -> Result<(Errand, Hop, Incoming), Problem> {
+    let (parts, incoming) = request.into_parts();
+    let Some(value) = parts.headers.get(header::HOP) else {
+        let detail = format!("no {} header", header::HOP);
+        return Err(Problem::not_run(Cause::BadRequest, detail));
+    };
+    let hop: Hop = frame::decode_header(value.as_bytes())
+        .map_err(|error| Problem::not_run(Cause::BadRequest, format!("hop: {error}")))?;
+    let key = parts
+        .headers
+        .get(header::IDEMPOTENCY_KEY)
+        .and_then(|value| value.to_str().ok())
+        .map(Arc::from);
+    let intake = Intake {
+        service: hop.service.clone(),
+        kind: hop.kind.clone(),
+        idempotent: hop.idempotent,
+        weight: hop.weight,
+        timeout: Duration::from_millis(u64::from(hop.timeout_ms)),
+        key,
+        depth: hop.depth,
+        allowance: hop.allowance,
+    };
+    let trace = Context::from_headers(&parts.headers, 0);
+    let mut errand = Errand::new(parts, intake, trace, now);
+    errand.fingerprint = hop.fingerprint;
+    Ok((errand, hop, incoming))
+}
--- /dev/null
+++ b/crates/basilbay_daemon/src/lib.rs
@@ -0,0 +1,22 @@
+//! The daemon beside each target instance.
+//!
+//! A thin shell: sockets, timers and tasks. Every decision is made by the pure crates, which
+//! [`daemon::Daemon`] composes. A request enters through [`server`]; [`intake`] reads it;
+//! [`entry`] picks a target's daemon and sends a hop there over a [`link`]; on that side
+//! [`target`] admits it and hands it to the target over a [`pool`].
+
+pub mod admission;
+pub mod answer;
+pub mod body;
+pub mod daemon;
+pub mod entry;
+pub mod errand;
+pub mod hop;
+pub mod intake;
+pub mod link;
+pub mod platform;
+pub mod pool;
+pub mod server;
+pub mod settings;
+pub mod target;
+pub mod trace;
--- /dev/null
+++ b/crates/basilbay_daemon/src/server.rs
@@ -0,0 +1,99 @@
+//! Accepts connections of callers and of other daemons.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::body::Body;
+use crate::daemon::Daemon;
+use crate::{entry, hop};
+
+/// Time that a caller has to send the headers of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Bytes of headers that the library reads; our own, smaller limit gives the better answer.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// Headers that the library reads before it refuses by itself.
+const READ_HEADERS: usize = 256;
+
+/// Requests that one HTTP/2 connection may have open.
+const MAX_STREAMS: u32 = 1024;
+
+/// Who connects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// Callers.
+    Callers,
+    /// Other daemons.
+    Peers,
+}
+
+/// Serves connections until the daemon stops, then lets running requests finish.
+pub async fn accept(daemon: Arc<Daemon>, listener: TcpListener, side: Side) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = daemon.stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(&daemon, stream, side, &graceful),
+            Err(error) => {
+                tracing::debug!(%error, "accept failed");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve(daemon: &Arc<Daemon>, stream: TcpStream, side: Side, graceful: &GracefulShutdown) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES)
+        .max_headers(READ_HEADERS);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(READ_BUFFER_BYTES as u32);
+    let daemon = daemon.clone();
+    let service = service_fn(move |request| handle(daemon.clone(), side, request));
+    let connection = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(error, "connection ended");
+        }
+    });
+}
+
+async fn handle(
+    daemon: Arc<Daemon>,
+    side: Side,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let response = match side {
+        Side::Callers => entry::serve(&daemon, request).await,
+        Side::Peers => hop::serve(&daemon, request).await,
+    };
+    Ok(response)
+}
--- /dev/null
+++ b/crates/basilbay_daemon/src/settings.rs
@@ -0,0 +1,180 @@
+//! The daemon's own settings: where it listens and what it stands beside.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use anyhow::Context;
+use basilbay_events::log::Format;
+use basilbay_model::finding::{Finding, Report};
+use basilbay_model::id::{DomainId, InstanceId, RegionId, ServiceId};
+use basilbay_model::ini::{Document, Reader, Section};
+
+/// Result of reading settings.
+pub type Result<T> = anyhow::Result<T>;
+
+const FORMATS: [(&str, Format); 2] = [("text", Format::Text), ("json", Format::Json)];
+const ANSWERS: [(&str, bool); 2] = [("yes", true), ("no", false)];
+const SECTIONS: [&str; 6] = ["instance", "listen", "platform", "log", "metrics", "run"];
+
+/// Threads of a daemon; two keep it small beside its target.
+const THREADS: usize = 2;
+
+/// What the daemon needs to know before it reads anything from the platform.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Id of this run of the instance.
+    pub id: InstanceId,
+    /// Service of the target.
+    pub service: ServiceId,
+    /// Failure domain of the instance.
+    pub domain: DomainId,
+    /// Region of the instance.
+    pub region: RegionId,
+    /// Address of the target.
+    pub target: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other daemons, TCP and UDP.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address of the configuration service.
+    pub config_service: SocketAddr,
+    /// Address of the instance list.
+    pub instance_list: SocketAddr,
+    /// Form of the log.
+    pub log_format: Format,
+    /// Which log lines are written.
+    pub log_filter: Arc<str>,
+    /// Whether a line is written when a span closes.
+    pub log_spans: bool,
+    /// Where metrics go.
+    pub statsd: Option<SocketAddr>,
+    /// Worker threads.
+    pub threads: usize,
+    /// Seed of all random choices; drawn from the id when it is not set.
+    pub seed: u64,
+}
+
+impl Settings {
+    /// Reads a file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("cannot read {}", path.display()))?;
+        Ok(Self::parse(&path.display().to_string(), &text)?)
+    }
+
+    /// Reads a text; all findings are reported together.
+    pub fn parse(file: &str, text: &str) -> std::result::Result<Self, Report> {
+        let mut report = Report::default();
+        let document = Document::parse(file, text, &mut report);
+        check_sections(&document, &mut report);
+        let settings = read(&document, &mut report);
+        report.sort();
+        match settings {
+            Some(settings) if report.is_clean() => Ok(settings),
+            _ => Err(report),
+        }
+    }
+}
+
+fn check_sections(document: &Document, report: &mut Report) {
+    for section in &document.sections {
+        if SECTIONS.contains(&&*section.name) {
+            continue;
+        }
+        report.push(Finding {
+            file: document.file.clone(),
+            line: section.line,
+            section: section.name.clone(),
+            key: Arc::from(""),
+            rule: "unknown-section",
+            message: format!("unknown section; known are {}", SECTIONS.join(", ")),
+        });
+    }
+}
+
+fn read(document: &Document, report: &mut Report) -> Option<Settings> {
+    let absent = |name: &str| Section {
+        name: Arc::from(name),
+        line: 0,
+        entries: Vec::new(),
+    };
+    let section = |name| document.section(name).cloned().unwrap_or(absent(name));
+
+    let instance = section("instance");
+    let mut reader = Reader::new(document, &instance, report);
+    let id = reader.text("id");
+    let service = reader.text("service");
+    let domain = reader.text("domain");
+    let region = reader.optional_text("region").unwrap_or(Arc::from(""));
+    let target = reader.required("target");
+    reader.finish();
+
+    let listen = section("listen");
+    let mut reader = Reader::new(document, &listen, report);
+    let callers = reader.required("callers");
+    let peers = reader.required("peers");
+    let admin = reader.required("admin");
+    reader.finish();
+
+    let platform = section("platform");
+    let mut reader = Reader::new(document, &platform, report);
+    let config_service = reader.required("config");
+    let instance_list = reader.required("instances");
+    reader.finish();
+
+    let log = section("log");
+    let mut reader = Reader::new(document, &log, report);
+    let log_format = reader.choice("format", &FORMATS, Format::Text);
+    let log_filter = reader.optional_text("filter").unwrap_or(Arc::from("info"));
+    let log_spans = reader.choice("spans", &ANSWERS, false);
+    reader.finish();
+
+    let metrics = section("metrics");
+    let mut reader = Reader::new(document, &metrics, report);
+    let statsd = match reader.optional_text("statsd") {
+        Some(_) => reader.required("statsd"),
+        None => None,
+    };
+    reader.finish();
+
+    let run = section("run");
+    let mut reader = Reader::new(document, &run, report);
+    let threads = reader.value("threads", THREADS);
+    if threads == 0 || threads > 64 {
+        reader.found("threads", "range", "must be 1 to 64".to_owned());
+    }
+    let seed = reader.value("seed", seed_of(&id));
+    reader.finish();
+
+    Some(Settings {
+        id,
+        service,
+        domain,
+        region,
+        target: target?,
+        callers: callers?,
+        peers: peers?,
+        admin: admin?,
+        config_service: config_service?,
+        instance_list: instance_list?,
+        log_format,
+        log_filter,
+        log_spans,
+        statsd,
+        threads,
+        seed,
+    })
+}
+
+/// FNV-1a hash of the id, so that daemons draw differently and each one repeatably.
+fn seed_of(id: &str) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in id.bytes() {
+        hash ^= u64::from(byte);
+        hash = hash.wrapping_mul(0x0100_0000_01b3);
+    }
+    hash
+}
--- /dev/null
+++ b/crates/basilbay_daemon/src/target.rs
@@ -0,0 +1,160 @@
+//! Target role: admits requests to the own target and runs them.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::BodyExt;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+
+use basilbay_wire::header;
+use basilbay_wire::problem::{Cause, Problem};
+
+use crate::admission::Slot;
+use crate::answer::{self, Reply};
+use crate::body::{self, Body};
+use crate::daemon::Daemon;
+use crate::errand::Errand;
+use crate::pool::{Connection, Failure, Pool};
+
+/// Runs a request on the own target, once it is admitted.
+pub async fn run(daemon: &Arc<Daemon>, errand: &Errand, allowance: u8, body: Body) -> Reply {
+    match admit(daemon, errand).await {
+        Ok(slot) => exchange(daemon, errand, allowance, body, slot).await,
+        Err(problem) => Reply::Problem(problem),
+    }
+}
+
+async fn admit(daemon: &Daemon, errand: &Errand) -> Result<Slot, Problem> {
+    if errand.intake.service != daemon.settings.service {
+        let detail = format!(
+            "this target belongs to service '{}'",
+            daemon.settings.service
+        );
+        return Err(Problem::not_run(Cause::ServiceOut, detail));
+    }
+    daemon.admission.enter(errand.deadline).await
+}
+
+async fn exchange(
+    daemon: &Arc<Daemon>,
+    errand: &Errand,
+    allowance: u8,
+    body: Body,
+    slot: Slot,
+) -> Reply {
+    let trace = errand.trace.child(daemon.draw());
+    let request = errand.to_target(allowance, trace, body);
+    let deadline = errand.deadline;
+    let sent = tokio::time::timeout_at(deadline.into(), daemon.pool.send(request));
+    let (response, connection) = match sent.await {
+        Ok(Ok(received)) => received,
+        Ok(Err(Failure::NotSent(error))) => {
+            let detail = format!("target not reached: {error:#}");
+            return Reply::Problem(Problem::not_run(Cause::TargetFailed, detail));
+        }
+        Ok(Err(Failure::Broken(error))) => {
+            let detail = format!("target broke off: {error:#}");
+            return Reply::Problem(Problem::unknown(Cause::TargetFailed, detail));
+        }
+        Err(_) => {
+            let detail = "the target did not answer before the deadline";
+            return Reply::Problem(Problem::unknown(Cause::DeadlinePassed, detail));
+        }
+    };
+    pass_on(daemon, response, connection, slot, deadline).await
+}
+
+async fn pass_on(
+    daemon: &Arc<Daemon>,
+    response: Response<Incoming>,
+    connection: Connection,
+    slot: Slot,
+    deadline: Instant,
+) -> Reply {
+    let is_small = answer::is_small(&response);
+    let (mut parts, incoming) = response.into_parts();
+    answer::strip_connection_headers(&mut parts.headers);
+    for name in [header::OUTCOME, header::LOAD, header::REPLAYED] {
+        parts.headers.remove(name);
+    }
+    let tracked = Tracked {
+        incoming,
+        held: Some((connection, slot)),
+        pool: daemon.pool.clone(),
+    };
+    if !is_small {
+        return Reply::Answer(Response::from_parts(parts, tracked.boxed_unsync()));
+    }
+    match tokio::time::timeout_at(deadline.into(), tracked.collect()).await {
+        Ok(Ok(collected)) => {
+            let body = body::full(collected.to_bytes());
+            Reply::Answer(Response::from_parts(parts, body))
+        }
+        Ok(Err(error)) => {
+            let detail = format!("the target's answer broke off: {error}");
+            Reply::Problem(Problem::unknown(Cause::TargetFailed, detail))
+        }
+        Err(_) => {
+            let detail = "the target's answer was not complete before the deadline";
+            Reply::Problem(Problem::unknown(Cause::DeadlinePassed, detail))
+        }
+    }
+}
+
+/// An answer's body that holds the slot and the connection until its end.
+struct Tracked {
+    incoming: Incoming,
+    held: Option<(Connection, Slot)>,
+    pool: Arc<Pool>,
+}
+
+impl Tracked {
+    fn finish(&mut self) {
+        if let Some((connection, slot)) = self.held.take() {
+            self.pool.put(connection);
+            drop(slot);
+        }
+    }
+}
+
+impl HttpBody for Tracked {
+    type Data = Bytes;
+    type Error = body::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<body::Result<Frame<Bytes>>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        match polled {
+            Poll::Ready(None) => {
+                self.finish();
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Ok(frame))) => {
+                if self.incoming.is_end_stream() {
+                    self.finish();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.held = None;
+                Poll::Ready(Some(Err(error.into())))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // Not the inner answer: the end must be polled, so that the connection is given back.
+        self.held.is_none() && self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/basilbay_routing/src/board.rs
@@ -0,0 +1,232 @@
+//! What the entry role knows of each target of a service.
+//!
+//! Figures come from three places: load that a target's daemon pushes or puts on its answers,
+//! service times that this daemon sees itself, and the requests that it has in flight there. The
+//! first kind is shared by all callers but ages; the last is exact but covers one caller only.
+
+use std::time::{Duration, Instant};
+
+use basilbay_model::id::{DomainId, InstanceId};
+use basilbay_wire::load::{Load, State};
+
+use crate::straggler::Ejection;
+
+/// Age at which a figure has lost most of its weight; load shifts within milliseconds.
+const HALF_LIFE: Duration = Duration::from_millis(100);
+
+/// Weight of a new service time in the moving average.
+const LATENCY_GAIN: f64 = 0.2;
+
+/// Service time that is assumed before any was seen.
+const UNKNOWN_LATENCY: Duration = Duration::from_millis(5);
+
+/// Time for which a state that forbids new work is believed.
+const STATE_TERM: Duration = Duration::from_secs(1);
+
+/// A number that tells the requests of one daemon apart.
+pub type CallId = u64;
+
+/// A request of this daemon that is with a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outstanding {
+    /// The request.
+    pub call: CallId,
+    /// When it was sent.
+    pub sent_at: Instant,
+}
+
+/// A target and what is known of it.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Its instance.
+    pub id: InstanceId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Whether it lies in the own failure domain.
+    pub is_local: bool,
+    /// Whether roster and configuration allow new work.
+    pub allowed: bool,
+    /// Whether its own daemon said that it leaves.
+    pub left: bool,
+    /// The newest figures of its daemon.
+    pub load: Load,
+    /// When these figures came; `None` before the first.
+    pub heard_at: Option<Instant>,
+    /// Requests of this daemon that were sent since the figures came.
+    pub sent_since: u32,
+    /// Requests of this daemon that are with the target, the oldest first.
+    pub outstanding: Vec<Outstanding>,
+    /// Moving average of the service time that this daemon saw, in seconds.
+    pub latency: f64,
+    /// Whether and until when the target is avoided.
+    pub ejection: Ejection,
+}
+
+impl Target {
+    /// A target of which nothing is known.
+    pub fn new(id: InstanceId, domain: DomainId, is_local: bool) -> Self {
+        Self {
+            id,
+            domain,
+            is_local,
+            allowed: true,
+            left: false,
+            load: Load::default(),
+            heard_at: None,
+            sent_since: 0,
+            outstanding: Vec::new(),
+            latency: UNKNOWN_LATENCY.as_secs_f64(),
+            ejection: Ejection::default(),
+        }
+    }
+
+    /// Whether new work may be offered at all; its daemon may still refuse.
+    ///
+    /// A state that forbids work counts for a short while only, since the datagram that lifts it
+    /// may be lost.
+    pub fn takes_work(&self, now: Instant) -> bool {
+        let state_is_old = self
+            .heard_at
+            .is_none_or(|heard_at| now.saturating_duration_since(heard_at) > STATE_TERM);
+        self.allowed && !self.left && (self.load.state.takes_work() || state_is_old)
+    }
+
+    /// Requests of this daemon that are with the target.
+    pub fn own_in_flight(&self) -> u32 {
+        u32::try_from(self.outstanding.len()).unwrap_or(u32::MAX)
+    }
+
+    /// How much the reported figures still count: 1 when fresh, towards 0 with age.
+    pub fn confidence(&self, now: Instant) -> f64 {
+        let Some(heard_at) = self.heard_at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(heard_at).as_secs_f64();
+        0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+
+    /// Estimated requests on the target, waiting ones included.
+    ///
+    /// An old figure is drawn towards `typical`, the mean of the service: taking stale figures at
+    /// their word sends every caller to the same target.
+    pub fn estimate(&self, typical: f64, now: Instant) -> f64 {
+        let confidence = self.confidence(now);
+        let reported = f64::from(self.load.in_flight + self.load.queued);
+        let blended = confidence * reported + (1.0 - confidence) * typical;
+        let estimate = blended + f64::from(self.sent_since);
+        estimate.max(f64::from(self.own_in_flight()))
+    }
+
+    /// Requests that the target may run, as last heard.
+    pub fn limit(&self, fallback: u32) -> f64 {
+        let limit = if self.heard_at.is_some() && self.load.limit > 0 {
+            self.load.limit
+        } else {
+            fallback
+        };
+        f64::from(limit.max(1))
+    }
+
+    fn hear(&mut self, load: &Load, now: Instant) {
+        let is_older = self.heard_at.is_some() && load.sequence < self.load.sequence;
+        if is_older {
+            return;
+        }
+        self.load = load.clone();
+        self.heard_at = Some(now);
+        self.sent_since = 0;
+    }
+}
+
+/// The targets of one service, sorted by instance id.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    /// The targets.
+    pub targets: Vec<Target>,
+    /// Slots of a target by contract, for targets that were not heard yet.
+    pub slots: u32,
+}
+
+impl Board {
+    /// Finds a target by its instance.
+    pub fn position(&self, id: &str) -> Option<usize> {
+        self.targets
+            .binary_search_by(|target| (*target.id).cmp(id))
+            .ok()
+    }
+
+    /// Takes over the targets of a new view; what is known of those that stay is kept.
+    pub fn sync(&mut self, mut next: Vec<Target>) {
+        next.sort_by(|left, right| left.id.cmp(&right.id));
+        for target in &mut next {
+            let Some(index) = self.position(&target.id) else {
+                continue;
+            };
+            let mut known = self.targets[index].clone();
+            known.allowed = target.allowed;
+            known.domain = target.domain.clone();
+            known.is_local = target.is_local;
+            *target = known;
+        }
+        self.targets = next;
+    }
+
+    /// Takes figures that a target's daemon gave.
+    pub fn hear(&mut self, id: &str, load: &Load, now: Instant) {
+        if let Some(index) = self.position(id) {
+            self.targets[index].hear(load, now);
+        }
+    }
+
+    /// Notes that a target's daemon said it leaves.
+    pub fn leave(&mut self, id: &str) {
+        if let Some(index) = self.position(id) {
+            let target = &mut self.targets[index];
+            target.left = true;
+            target.load.state = State::Leaving;
+        }
+    }
+
+    /// Notes a request that is sent to a target.
+    pub fn start(&mut self, index: usize, call: CallId, now: Instant) {
+        let target = &mut self.targets[index];
+        target.sent_since += 1;
+        target.outstanding.push(Outstanding { call, sent_at: now });
+    }
+
+    /// Notes that a target answered; the time counts towards its latency.
+    pub fn answer(&mut self, id: &str, call: CallId, now: Instant) {
+        let Some(sent_at) = self.end(id, call) else {
+            return;
+        };
+        if let Some(index) = self.position(id) {
+            let target = &mut self.targets[index];
+            let sample = now.saturating_duration_since(sent_at).as_secs_f64();
+            target.latency += LATENCY_GAIN * (sample - target.latency);
+        }
+    }
+
+    /// Notes that a request is no longer with a target, and returns when it was sent.
+    pub fn end(&mut self, id: &str, call: CallId) -> Option<Instant> {
+        let index = self.position(id)?;
+        let target = &mut self.targets[index];
+        let place = target
+            .outstanding
+            .iter()
+            .position(|outstanding| outstanding.call == call)?;
+        Some(target.outstanding.remove(place).sent_at)
+    }
+
+    /// Mean of the reported requests on a target, over the targets that were heard.
+    pub fn typical(&self, now: Instant) -> f64 {
+        let mut sum = 0.0;
+        let mut count = 0.0;
+        for target in &self.targets {
+            if target.heard_at.is_some() && target.takes_work(now) {
+                sum += f64::from(target.load.in_flight + target.load.queued);
+                count += 1.0;
+            }
+        }
+        if count == 0.0 { 0.0 } else { sum / count }
+    }
+}
--- /dev/null
+++ b/crates/basilbay_routing/src/policy.rs
@@ -0,0 +1,35 @@
+//! How a target is picked among those that may be picked.
+
+mod balanced;
+mod baseline;
+
+use std::time::Instant;
+
+use basilbay_model::service::Policy as Name;
+
+use crate::board::Board;
+
+pub use balanced::Balanced;
+pub use baseline::{LeastInFlight, Random, RoundRobin, TwoChoices};
+
+/// A way to pick a target.
+pub trait Policy: Send {
+    /// Picks one of `eligible`, which are positions on the board and never empty.
+    fn pick(&mut self, board: &Board, eligible: &[usize], now: Instant) -> usize;
+
+    /// Whether stragglers are taken out of `eligible`; the baselines go without.
+    fn avoids_stragglers(&self) -> bool {
+        false
+    }
+}
+
+/// Makes the policy that a service asks for.
+pub fn make(name: Name, seed: u64) -> Box<dyn Policy> {
+    match name {
+        Name::Basilbay => Box::new(Balanced::new(seed)),
+        Name::RoundRobin => Box::new(RoundRobin::new(seed)),
+        Name::Random => Box::new(Random::new(seed)),
+        Name::LeastInFlight => Box::new(LeastInFlight::new(seed)),
+        Name::TwoChoices => Box::new(TwoChoices::new(seed)),
+    }
+}
--- /dev/null
+++ b/crates/basilbay_routing/src/policy/baseline.rs
@@ -0,0 +1,108 @@
+//! Simple policies, as baselines to measure against.
+//!
+//! They know only what one caller knows by itself: the turn, or its own requests in flight.
+
+use std::time::Instant;
+
+use fastrand::Rng;
+
+use super::Policy;
+use crate::board::Board;
+
+/// Each target in turn.
+#[derive(Debug)]
+pub struct RoundRobin {
+    turn: usize,
+}
+
+impl RoundRobin {
+    /// Starts at a place that differs between daemons, so that they do not march in step.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            turn: Rng::with_seed(seed).usize(..),
+        }
+    }
+}
+
+impl Policy for RoundRobin {
+    fn pick(&mut self, _board: &Board, eligible: &[usize], _now: Instant) -> usize {
+        self.turn = self.turn.wrapping_add(1);
+        eligible[self.turn % eligible.len()]
+    }
+}
+
+/// A uniformly random target.
+#[derive(Debug)]
+pub struct Random {
+    rng: Rng,
+}
+
+impl Random {
+    /// Draws from a seed.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: Rng::with_seed(seed),
+        }
+    }
+}
+
+impl Policy for Random {
+    fn pick(&mut self, _board: &Board, eligible: &[usize], _now: Instant) -> usize {
+        eligible[self.rng.usize(..eligible.len())]
+    }
+}
+
+/// The target with the fewest own requests in flight; ties are drawn.
+#[derive(Debug)]
+pub struct LeastInFlight {
+    rng: Rng,
+}
+
+impl LeastInFlight {
+    /// Draws ties from a seed.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: Rng::with_seed(seed),
+        }
+    }
+}
+
+impl Policy for LeastInFlight {
+    fn pick(&mut self, board: &Board, eligible: &[usize], _now: Instant) -> usize {
+        let start = self.rng.usize(..eligible.len());
+        let turned = eligible[start..].iter().chain(&eligible[..start]);
+        turned
+            .copied()
+            .min_by_key(|index| board.targets[*index].own_in_flight())
+            .unwrap_or(eligible[0])
+    }
+}
+
+/// The better of two random targets by own requests in flight.
+#[derive(Debug)]
+pub struct TwoChoices {
+    rng: Rng,
+}
+
+impl TwoChoices {
+    /// Draws from a seed.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: Rng::with_seed(seed),
+        }
+    }
+}
+
+impl Policy for TwoChoices {
+    fn pick(&mut self, board: &Board, eligible: &[usize], _now: Instant) -> usize {
+        let first = eligible[self.rng.usize(..eligible.len())];
+        let second = eligible[self.rng.usize(..eligible.len())];
+        let first_load = board.targets[first].own_in_flight();
+        let second_load = board.targets[second].own_in_flight();
+        if second_load < first_load {
+            second
+        } else {
+            first
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilbay_routing/src/retry.rs
@@ -0,0 +1,136 @@
+//! Whether a failed attempt is tried again.
+//!
+//! Two things are counted apart. A refusal costs the target nothing and starts nothing further
+//! down, so it is bounded for each hop alone. A second run of an idempotent request costs a slot
+//! and may start a whole chain again, so it draws on a budget of the service and on the one
+//! allowance that travels with the call. Each level keeps one unit of the allowance for itself and
+//! passes the rest on, and a repeated attempt passes none on: with allowance A, a chain of any
+//! depth runs its last call at most A + 1 times.
+
+use std::time::Instant;
+
+use basilbay_wire::problem::Outcome;
+
+/// Refusals after which a call gives up; by then about every sibling was asked.
+pub const MAX_REFUSALS: u8 = 4;
+
+/// Retries a second that a service may always make, however few calls it has.
+const FLOOR_PER_SECOND: f64 = 3.0;
+
+/// Most retries that a budget saves up.
+const RESERVE: f64 = 20.0;
+
+/// Retries that a service may add to its load.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    tokens: f64,
+    share: f64,
+    filled_at: Instant,
+}
+
+impl Budget {
+    /// A budget of `percent` of the calls.
+    pub fn new(percent: u32, now: Instant) -> Self {
+        Self {
+            tokens: FLOOR_PER_SECOND,
+            share: f64::from(percent) / 100.0,
+            filled_at: now,
+        }
+    }
+
+    /// Changes the share of calls.
+    pub fn set_percent(&mut self, percent: u32) {
+        self.share = f64::from(percent) / 100.0;
+    }
+
+    /// Notes a call.
+    pub fn deposit(&mut self) {
+        self.tokens = (self.tokens + self.share).min(RESERVE);
+    }
+
+    /// Takes one retry, if there is one.
+    pub fn withdraw(&mut self, now: Instant) -> bool {
+        let passed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        self.tokens = (self.tokens + passed * FLOOR_PER_SECOND).min(RESERVE);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+/// Extra runs that a call may still cause at its own level and below.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Allowance {
+    own: u8,
+    below: u8,
+}
+
+impl Allowance {
+    /// Splits what came with a call: one for this level, the rest for the levels below.
+    pub fn split(total: u8) -> Self {
+        Self {
+            own: total.min(1),
+            below: total.saturating_sub(1),
+        }
+    }
+
+    /// What is passed on with the next attempt.
+    pub fn passed_on(&self) -> u8 {
+        self.below
+    }
+
+    fn take(&mut self) -> bool {
+        if self.own == 0 {
+            return false;
+        }
+        self.own -= 1;
+        self.below = 0;
+        true
+    }
+}
+
+/// The attempts of one call at one level.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempts {
+    /// Whether the request may run twice.
+    pub idempotent: bool,
+    /// When the call's time is up.
+    pub deadline: Instant,
+    /// Extra runs that are left.
+    pub allowance: Allowance,
+    /// Refusals so far.
+    pub refusals: u8,
+}
+
+impl Attempts {
+    /// The attempts of a new call.
+    pub fn new(idempotent: bool, deadline: Instant, allowance: u8) -> Self {
+        Self {
+            idempotent,
+            deadline,
+            allowance: Allowance::split(allowance),
+            refusals: 0,
+        }
+    }
+
+    /// Whether to try again after an attempt that ended with `outcome`.
+    pub fn again(&mut self, outcome: Outcome, budget: &mut Budget, now: Instant) -> bool {
+        if now >= self.deadline {
+            return false;
+        }
+        match outcome {
+            Outcome::NotRun => {
+                self.refusals += 1;
+                self.refusals < MAX_REFUSALS
+            }
+            Outcome::Unknown => {
+                self.idempotent && self.allowance.own > 0 && budget.withdraw(now) && {
+                    self.allowance.take()
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilbay_routing/src/router.rs
@@ -0,0 +1,169 @@
+//! One service's view of its targets, with the policy that picks.
+
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use basilbay_model::config::Config;
+use basilbay_model::domain::State as Wanted;
+use basilbay_model::id::{DomainId, InstanceId, ServiceId};
+use basilbay_model::roster::{Roster, State as Listed};
+use basilbay_model::service::Policy as Name;
+use basilbay_wire::load::Load;
+
+use crate::board::{Board, CallId, Target};
+use crate::policy::{self, Policy};
+use crate::retry::{Attempts, Budget};
+use crate::straggler;
+
+/// How an attempt ended, as far as the target is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The target answered.
+    Answered,
+    /// Its daemon refused.
+    Refused,
+    /// The connection failed or broke.
+    Failed,
+    /// The caller went away or the deadline passed.
+    Abandoned,
+}
+
+/// Picks targets for the requests of one service.
+pub struct Router {
+    /// The service.
+    pub service: ServiceId,
+    /// What is known of its targets.
+    pub board: Board,
+    /// Further runs that the service may add.
+    pub budget: Budget,
+    name: Name,
+    policy: Box<dyn Policy>,
+    seed: u64,
+    eligible: Vec<usize>,
+}
+
+impl fmt::Debug for Router {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.debug_struct("Router")
+            .field("service", &self.service)
+            .field("policy", &self.name)
+            .field("board", &self.board)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Router {
+    /// A router that knows no targets yet.
+    pub fn new(service: ServiceId, seed: u64, now: Instant) -> Self {
+        Self {
+            service,
+            board: Board::default(),
+            budget: Budget::new(0, now),
+            name: Name::Basilbay,
+            policy: policy::make(Name::Basilbay, seed),
+            seed,
+            eligible: Vec::new(),
+        }
+    }
+
+    /// Takes over a new configuration and roster.
+    pub fn sync(&mut self, config: &Config, roster: &Roster, own_domain: &DomainId) {
+        let Some(service) = config.service(&self.service) else {
+            self.board.sync(Vec::new());
+            return;
+        };
+        self.budget.set_percent(config.limits.retry_percent);
+        self.board.slots = service.contract.slots;
+        if service.policy != self.name {
+            self.name = service.policy;
+            self.policy = policy::make(service.policy, self.seed);
+        }
+        let is_in = service.state == Wanted::In;
+        let targets = roster.of_service(&self.service).map(|instance| {
+            let is_local = instance.domain == *own_domain;
+            let mut target = Target::new(instance.id.clone(), instance.domain.clone(), is_local);
+            target.allowed =
+                is_in && instance.state == Listed::Live && config.domain_is_in(&instance.domain);
+            target
+        });
+        self.board.sync(targets.collect());
+    }
+
+    /// Picks a target that is not in `tried` and notes the attempt.
+    pub fn pick(&mut self, call: CallId, tried: &[InstanceId], now: Instant) -> Option<InstanceId> {
+        straggler::review(&mut self.board, now);
+        self.find_eligible(tried, now);
+        if self.eligible.is_empty() {
+            return None;
+        }
+        let index = self.policy.pick(&self.board, &self.eligible, now);
+        self.board.start(index, call, now);
+        Some(self.board.targets[index].id.clone())
+    }
+
+    /// Notes how an attempt ended.
+    pub fn end(&mut self, id: &str, call: CallId, ending: Ending, now: Instant) {
+        let Some(index) = self.board.position(id) else {
+            return;
+        };
+        match ending {
+            Ending::Answered => {
+                let sent_at = self.board.targets[index]
+                    .outstanding
+                    .iter()
+                    .find(|outstanding| outstanding.call == call)
+                    .map(|outstanding| outstanding.sent_at);
+                self.board.answer(id, call, now);
+                let took = sent_at.map_or(Duration::ZERO, |sent_at| {
+                    now.saturating_duration_since(sent_at)
+                });
+                straggler::answered(&mut self.board, index, took, now);
+            }
+            Ending::Refused | Ending::Abandoned => {
+                self.board.end(id, call);
+            }
+            Ending::Failed => {
+                self.board.end(id, call);
+                straggler::failed(&mut self.board, index, now);
+            }
+        }
+    }
+
+    /// Takes figures that a target's daemon gave.
+    pub fn hear(&mut self, id: &str, load: &Load, now: Instant) {
+        self.board.hear(id, load, now);
+    }
+
+    /// Starts to count the attempts of a call.
+    pub fn attempts(&mut self, idempotent: bool, deadline: Instant, allowance: u8) -> Attempts {
+        self.budget.deposit();
+        Attempts::new(idempotent, deadline, allowance)
+    }
+
+    /// Whether any target may get new work, tried or not.
+    pub fn has_targets(&self, now: Instant) -> bool {
+        let mut targets = self.board.targets.iter();
+        targets.any(|target| target.takes_work(now))
+    }
+
+    /// Collects the positions that may be picked; stragglers only when nothing else is left.
+    fn find_eligible(&mut self, tried: &[InstanceId], now: Instant) {
+        self.eligible.clear();
+        let avoids = self.policy.avoids_stragglers();
+        let targets = &self.board.targets;
+        let is_open = |target: &Target| target.takes_work(now) && !tried.contains(&target.id);
+        for (index, target) in targets.iter().enumerate() {
+            if is_open(target) && (!avoids || straggler::admits(target, now)) {
+                self.eligible.push(index);
+            }
+        }
+        if !self.eligible.is_empty() {
+            return;
+        }
+        for (index, target) in targets.iter().enumerate() {
+            if is_open(target) {
+                self.eligible.push(index);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilbay_routing/src/straggler.rs
@@ -0,0 +1,133 @@
+//! Which targets are avoided for a while because they are slow.
+//!
+//! A target is compared with its siblings at the same time, so that a slow moment of the whole
+//! service ejects nobody. At most half of a service is avoided, whatever the figures say: the rest
+//! could not bear the load. A target that was avoided gets one request at a time as a trial.
+
+use std::time::{Duration, Instant};
+
+use crate::board::{Board, Target};
+
+/// Service time over the siblings' median that makes a straggler.
+const FACTOR: f64 = 4.0;
+
+/// Shortest silence that counts; below it, timers and scheduling blur the comparison.
+const SILENCE_MIN: Duration = Duration::from_millis(20);
+
+/// Time that a straggler is avoided at first; it doubles with each failed trial.
+const FIRST_TERM: Duration = Duration::from_millis(50);
+
+/// Longest time between two trials.
+const LAST_TERM: Duration = Duration::from_secs(2);
+
+/// Whether a target is avoided.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ejection {
+    /// When a trial may be sent; `None` while the target is not avoided.
+    pub until: Option<Instant>,
+    /// Consecutive ejections.
+    pub count: u32,
+}
+
+impl Ejection {
+    /// Whether requests other than a trial should go elsewhere.
+    pub fn is_active(&self) -> bool {
+        self.until.is_some()
+    }
+
+    fn extend(&mut self, now: Instant) {
+        let doublings = self.count.min(6);
+        let term = FIRST_TERM.saturating_mul(1 << doublings).min(LAST_TERM);
+        self.until = Some(now + term);
+        self.count += 1;
+    }
+
+    fn clear(&mut self) {
+        self.until = None;
+        self.count = 0;
+    }
+}
+
+/// Whether a target may be offered a request as far as these rules go.
+pub fn admits(target: &Target, now: Instant) -> bool {
+    match target.ejection.until {
+        None => true,
+        Some(until) => now >= until && target.outstanding.is_empty(),
+    }
+}
+
+/// Looks for stragglers among the targets of a service.
+pub fn review(board: &mut Board, now: Instant) {
+    let Some(median) = median_latency(board, now) else {
+        return;
+    };
+    let silence = SILENCE_MIN.max(Duration::from_secs_f64(median * FACTOR));
+    let mut room = most_ejected(board, now).saturating_sub(count_ejected(board, now));
+    for target in &mut board.targets {
+        let is_silent = target
+            .outstanding
+            .first()
+            .is_some_and(|oldest| now.saturating_duration_since(oldest.sent_at) > silence);
+        if !is_silent {
+            continue;
+        }
+        match target.ejection.until {
+            Some(until) if now >= until => target.ejection.extend(now),
+            Some(_) => {}
+            None if room > 0 => {
+                room -= 1;
+                target.ejection.extend(now);
+            }
+            None => {}
+        }
+    }
+}
+
+/// Readmits a target after a trial that took no longer than its siblings need.
+pub fn answered(board: &mut Board, index: usize, took: Duration, now: Instant) {
+    let Some(median) = median_latency(board, now) else {
+        return;
+    };
+    let silence = SILENCE_MIN.max(Duration::from_secs_f64(median * FACTOR));
+    let target = &mut board.targets[index];
+    if target.ejection.is_active() && took <= silence {
+        target.ejection.clear();
+    }
+}
+
+/// Avoids a target whose connection failed.
+pub fn failed(board: &mut Board, index: usize, now: Instant) {
+    let has_room = count_ejected(board, now) < most_ejected(board, now);
+    let target = &mut board.targets[index];
+    if target.ejection.is_active() || has_room {
+        target.ejection.extend(now);
+    }
+}
+
+fn most_ejected(board: &Board, now: Instant) -> usize {
+    let usable = board.targets.iter().filter(|target| target.takes_work(now));
+    usable.count() / 2
+}
+
+fn count_ejected(board: &Board, now: Instant) -> usize {
+    let ejected = board
+        .targets
+        .iter()
+        .filter(|target| target.takes_work(now) && target.ejection.is_active());
+    ejected.count()
+}
+
+fn median_latency(board: &Board, now: Instant) -> Option<f64> {
+    let mut latencies: Vec<f64> = board
+        .targets
+        .iter()
+        .filter(|target| target.takes_work(now))
+        .map(|target| target.latency)
+        .collect();
+    if latencies.len() < 2 {
+        return None;
+    }
+    latencies.sort_by(f64::total_cmp);
+    // The lower median: with two targets, the fast one is the measure.
+    latencies.get((latencies.len() - 1) / 2).copied()
+}
--- /dev/null
+++ b/crates/basilbay_routing/tests/pick.rs
@@ -0,0 +1,192 @@
+//! Picks: which targets get requests.
+
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use basilbay_model::service::Policy;
+use basilbay_routing::policy;
+use basilbay_routing::router::{Ending, Router};
+use basilbay_wire::load::{Load, State};
+use fleet::{id, router};
+use proptest::prelude::*;
+
+fn load(sequence: u64, in_flight: u32) -> Load {
+    Load {
+        sequence,
+        in_flight,
+        limit: 18,
+        latency_us: 5000,
+        ..Load::default()
+    }
+}
+
+/// Sends `count` requests that end at once and returns how many each target got.
+fn spread(router: &mut Router, targets: usize, count: u64, now: Instant) -> Vec<usize> {
+    let mut counts = vec![0; targets];
+    for call in 0..count {
+        let picked = router.pick(call, &[], now).expect("a target is open");
+        let index = router.board.position(&picked).expect("it is on the board");
+        counts[index] += 1;
+        router.end(&picked, call, Ending::Refused, now);
+        for target in &mut router.board.targets {
+            target.sent_since = 0;
+        }
+    }
+    counts
+}
+
+/// Guards against daemons that all take the target with the smallest stale figure.
+#[test]
+fn stale_figures_fade() {
+    let start = Instant::now();
+    let mut router = router(6, 1, start);
+    for index in 0..6 {
+        let in_flight = if index == 3 { 0 } else { 12 };
+        router.hear(&id(index), &load(1, in_flight), start);
+    }
+    let fresh = spread(&mut router, 6, 600, start);
+    let stale = spread(&mut router, 6, 600, start + Duration::from_secs(2));
+    assert!(fresh[3] > 170, "{fresh:?}");
+    assert!(stale[3] < 170, "{stale:?}");
+}
+
+/// Guards against requests that leave the own failure domain while it has headroom.
+#[test]
+fn local_domain_first() {
+    let now = Instant::now();
+    let mut router = router(8, 4, now);
+    for index in 0..8 {
+        router.hear(&id(index), &load(1, 3), now);
+    }
+    let counts = spread(&mut router, 8, 400, now);
+    assert_eq!(counts[0] + counts[4], 400, "{counts:?}");
+}
+
+/// Guards against a cliff or a stuck caller when the own failure domain is full.
+#[test]
+fn full_domain_spills() {
+    let now = Instant::now();
+    let mut router = router(8, 4, now);
+    for index in 0..8 {
+        let in_flight = if index % 4 == 0 { 18 } else { 3 };
+        router.hear(&id(index), &load(1, in_flight), now);
+    }
+    let counts = spread(&mut router, 8, 400, now);
+    assert!(counts[0] + counts[4] < 40, "{counts:?}");
+}
+
+/// Guards against work for targets that said they take none.
+#[test]
+fn closed_targets_idle() {
+    let now = Instant::now();
+    for state in [State::Leaving, State::Out, State::Down, State::Unconfirmed] {
+        let mut router = router(4, 1, now);
+        let closed = Load {
+            state,
+            ..load(1, 0)
+        };
+        router.hear(&id(2), &closed, now);
+        let counts = spread(&mut router, 4, 200, now);
+        assert_eq!(counts[2], 0, "{state:?} {counts:?}");
+    }
+}
+
+/// Guards against a target that stays without work since the datagram that reopens it was lost.
+#[test]
+fn closed_state_expires() {
+    let now = Instant::now();
+    let mut router = router(2, 1, now);
+    let closed = Load {
+        state: State::Down,
+        ..load(1, 0)
+    };
+    router.hear(&id(1), &closed, now);
+    let later = now + Duration::from_secs(2);
+    let counts = spread(&mut router, 2, 50, later);
+    assert!(counts[1] > 0, "{counts:?}");
+}
+
+/// Guards against old figures that overwrite newer ones when datagrams arrive out of order.
+#[test]
+fn late_figures_lose() {
+    let now = Instant::now();
+    let mut router = router(2, 1, now);
+    router.hear(&id(0), &load(5, 17), now);
+    router.hear(&id(0), &load(4, 0), now);
+    assert_eq!(router.board.targets[0].load.in_flight, 17);
+}
+
+/// Guards against a straggler that keeps getting requests after tens of milliseconds of silence.
+#[test]
+fn silent_targets_rest() {
+    let start = Instant::now();
+    let mut router = router(6, 1, start);
+    let stuck = router.pick(1, &[], start).unwrap();
+    let later = start + Duration::from_millis(60);
+    let mut counts = 0;
+    for call in 2..200 {
+        let picked = router.pick(call, &[], later).unwrap();
+        counts += usize::from(picked == stuck);
+        router.end(&picked, call, Ending::Refused, later);
+    }
+    assert_eq!(counts, 0);
+}
+
+/// Guards against ejecting so many targets that the rest is overloaded.
+#[test]
+fn half_remains() {
+    let start = Instant::now();
+    let mut router = router(6, 1, start);
+    for call in 0..60 {
+        router.pick(call, &[], start);
+    }
+    let later = start + Duration::from_secs(1);
+    router.pick(100, &[], later);
+    let ejected = router.board.targets.iter();
+    let ejected = ejected.filter(|target| target.ejection.is_active()).count();
+    assert_eq!(ejected, 3);
+}
+
+proptest! {
+    /// Guards against picks outside of what is allowed, whatever was heard in whatever order.
+    #[test]
+    fn picks_are_allowed(
+        seed: u64,
+        name in prop::sample::select(vec![
+            Policy::Basilbay, Policy::RoundRobin, Policy::Random,
+            Policy::LeastInFlight, Policy::TwoChoices,
+        ]),
+        steps in prop::collection::vec((0_usize..9, 0_u8..6, 0_u64..200), 1..200),
+    ) {
+        let mut now = Instant::now();
+        let mut router = router(9, 3, now);
+        let mut policy = policy::make(name, seed);
+        let mut tried = Vec::new();
+        for (step, (index, action, gap_ms)) in steps.into_iter().enumerate() {
+            now += Duration::from_millis(gap_ms);
+            let call = step as u64;
+            match action {
+                0 => router.hear(&id(index), &load(call, index as u32), now),
+                1 => router.board.leave(&id(index)),
+                2 => router.board.targets[index].allowed ^= true,
+                3 => tried = vec![id(index)],
+                4 => router.end(&id(index), call / 2, Ending::Failed, now),
+                _ => router.end(&id(index), call / 2, Ending::Answered, now),
+            }
+            if let Some(picked) = router.pick(call, &tried, now) {
+                let position = router.board.position(&picked).unwrap();
+                prop_assert!(router.board.targets[position].takes_work(now));
+                prop_assert!(!tried.contains(&picked));
+                let eligible = [position];
+                prop_assert_eq!(policy.pick(&router.board, &eligible, now), position);
+            } else {
+                let open = router.board.targets.iter().filter(|target| {
+                    target.takes_work(now) && !tried.contains(&target.id)
+                });
+                prop_assert_eq!(open.count(), 0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilbay_routing/tests/retry.rs
@@ -0,0 +1,94 @@
+//! Retries: what may run again, and how often.
+
+use std::time::{Duration, Instant};
+
+use basilbay_routing::retry::{Attempts, Budget, MAX_REFUSALS};
+use basilbay_wire::problem::Outcome;
+use proptest::prelude::*;
+
+/// Runs a chain in which every last call fails; returns how often the last call ran.
+fn runs_of_last_call(depth: u8, allowance: u8, idempotent: bool, now: Instant) -> u32 {
+    if depth == 0 {
+        return 1;
+    }
+    let mut budget = Budget::new(100, now);
+    for _ in 0..100 {
+        budget.deposit();
+    }
+    let mut attempts = Attempts::new(idempotent, now + Duration::from_secs(1), allowance);
+    let mut runs = 0;
+    loop {
+        let passed_on = attempts.allowance.passed_on();
+        runs += runs_of_last_call(depth - 1, passed_on, idempotent, now);
+        if !attempts.again(Outcome::Unknown, &mut budget, now) {
+            return runs;
+        }
+    }
+}
+
+/// Guards against retries that multiply along a chain: 3 tries a hop at 12 deep are 531,441.
+#[test]
+fn chains_stay_bounded() {
+    let now = Instant::now();
+    for depth in 1..=12 {
+        for allowance in 0..=5 {
+            let runs = runs_of_last_call(depth, allowance, true, now);
+            assert!(
+                runs <= u32::from(allowance) + 1,
+                "{depth} {allowance}: {runs}"
+            );
+        }
+    }
+}
+
+/// Guards against a second run of a request that is not idempotent.
+#[test]
+fn unknown_stays_unknown() {
+    let now = Instant::now();
+    assert_eq!(runs_of_last_call(3, 5, false, now), 1);
+}
+
+/// Guards against a call that asks the whole fleet while all targets refuse.
+#[test]
+fn refusals_stay_bounded() {
+    let now = Instant::now();
+    let mut budget = Budget::new(0, now);
+    let mut attempts = Attempts::new(false, now + Duration::from_secs(1), 0);
+    let mut count = 1;
+    while attempts.again(Outcome::NotRun, &mut budget, now) {
+        count += 1;
+    }
+    assert_eq!(count, MAX_REFUSALS);
+}
+
+proptest! {
+    /// Guards against a retry storm: second runs stay within the share of calls and the floor.
+    #[test]
+    fn budget_holds(percent in 0_u32..=20, calls in 1_u32..2000, gap_us in 0_u64..5000) {
+        let start = Instant::now();
+        let mut budget = Budget::new(percent, start);
+        let mut now = start;
+        let mut retries = 0_u32;
+        for _ in 0..calls {
+            now += Duration::from_micros(gap_us);
+            budget.deposit();
+            if budget.withdraw(now) {
+                retries += 1;
+            }
+        }
+        let seconds = now.duration_since(start).as_secs_f64();
+        let bound = f64::from(calls) * f64::from(percent) / 100.0 + 3.0 * seconds + 3.0 + 1e-6;
+        prop_assert!(f64::from(retries) <= bound, "{retries} > {bound}");
+    }
+
+    /// Guards against attempts after the caller's time is up.
+    #[test]
+    fn deadline_holds(after_ms in 0_u64..1000, idempotent: bool) {
+        let start = Instant::now();
+        let mut budget = Budget::new(100, start);
+        let mut attempts = Attempts::new(idempotent, start, 3);
+        let now = start + Duration::from_millis(after_ms);
+        prop_assert!(!attempts.again(Outcome::NotRun, &mut budget, now));
+        prop_assert!(!attempts.again(Outcome::Unknown, &mut budget, now));
+    }
+}
--- a/crates/basilbay_wire/src/hop.rs
+++ b/crates/basilbay_wire/src/hop.rs
@@ -25,6 +25,8 @@
     pub kind: KindId,
     /// Whether a second run does no harm, as the entry daemon read it.
     pub idempotent: bool,
+    /// How much the request counts.
+    pub weight: u32,
     /// Time that is left; a remaining time crosses processes without a shared clock.
     pub timeout_ms: u32,
     /// Extra attempts that are left for the whole chain.
--- a/crates/basilbay_wire/src/problem.rs
+++ b/crates/basilbay_wire/src/problem.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Finds a cause by the last part of its type URI.
+    pub fn parse(slug: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|cause| cause.slug() == slug)
+    }
+
     /// Short title.
     pub fn title(self) -> &'static str {
         match self {
@@ -191,6 +196,16 @@
         }
     }
 
+    /// Reads a problem back from the document that another daemon made.
+    pub fn from_document(document: &Document) -> Self {
+        let slug = document.kind.rsplit(':').next().unwrap_or_default();
+        Self {
+            cause: Cause::parse(slug).unwrap_or(Cause::PeerFailed),
+            outcome: document.outcome,
+            detail: document.detail.clone(),
+        }
+    }
+
     /// The problem document; `instance` names the daemon that made it.
     pub fn document(&self, instance: &str) -> Document {
         Document {
