Add the stand-ins for the platform and the targets

The crate basilbay_fakes has a library with handles that stop on drop and the program basilbay-fakes with the commands platform, config, list, publish and targets. A target accounts for every run and every broken limit.

The precision of the timer is not measured yet and the fault-injecting proxy is missing.

--- /dev/null
+++ b/crates/basilbay_fakes/src/command.rs
@@ -0,0 +1,206 @@
+//! The command line of `basilbay-fakes`.
+//!
+//! Each stand-in prints its addresses on standard output once it listens, and runs until SIGINT or
+//! SIGTERM.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use anyhow::Context;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::platform::publish::publish;
+use crate::platform::{self, Half, Platform};
+use crate::targets::{Fleet, spec};
+
+/// Threads of the runtime: the stand-ins share the machine with the load generator.
+const DEFAULT_THREADS: usize = 4;
+
+/// Exit code for a command that failed; clap exits with 2 on a bad command line.
+const FAILED: u8 = 1;
+
+/// Runs the program.
+pub fn run() -> ExitCode {
+    let matches = command().get_matches();
+    match start(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("basilbay-fakes: {error:#}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn start(matches: &ArgMatches) -> anyhow::Result<()> {
+    tracing_subscriber::fmt()
+        .with_env_filter(tracing_subscriber::EnvFilter::from_default_env())
+        .with_writer(std::io::stderr)
+        .init();
+    let threads = matches.get_one::<usize>("threads").copied();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(threads.unwrap_or(DEFAULT_THREADS).max(1))
+        .enable_all()
+        .build()?;
+    runtime.block_on(dispatch(matches))
+}
+
+/// The command line.
+pub fn command() -> Command {
+    let threads = Arg::new("threads")
+        .long("threads")
+        .value_name("N")
+        .value_parser(value_parser!(usize))
+        .default_value(DEFAULT_THREADS.to_string())
+        .global(true)
+        .help("Threads of the runtime");
+    Command::new("basilbay-fakes")
+        .about("Stand-ins for the platform, the targets and the network, on loopback only")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(threads)
+        .subcommand(
+            Command::new("platform")
+                .about("Configuration service and instance list in one process")
+                .args([listen(), config(), instances()]),
+        )
+        .subcommand(
+            Command::new("config")
+                .about("Configuration service only")
+                .args([listen(), config()]),
+        )
+        .subcommand(
+            Command::new("list")
+                .about("Instance list only")
+                .args([listen(), instances()]),
+        )
+        .subcommand(
+            Command::new("publish")
+                .about("Publishes a configuration file, as the platform does")
+                .args([
+                    file("FILE").required(true).help("The configuration"),
+                    address("to")
+                        .required(true)
+                        .help("Address of the configuration service"),
+                ]),
+        )
+        .subcommand(
+            Command::new("targets")
+                .about("Many targets in one process")
+                .args([
+                    option_file("spec")
+                        .required(true)
+                        .help("JSON list of targets"),
+                    address("control")
+                        .default_value("127.0.0.1:0")
+                        .help("Address of the control listener"),
+                ]),
+        )
+}
+
+fn address(name: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("ADDR")
+        .value_parser(value_parser!(SocketAddr))
+}
+
+fn file(name: &'static str) -> Arg {
+    Arg::new(name).value_parser(value_parser!(PathBuf))
+}
+
+fn option_file(name: &'static str) -> Arg {
+    file(name).long(name).value_name("FILE")
+}
+
+fn listen() -> Arg {
+    address("listen")
+        .required(true)
+        .help("Address to listen on")
+}
+
+fn config() -> Arg {
+    option_file("config").help("The first configuration, INI")
+}
+
+fn instances() -> Arg {
+    option_file("instances").help("The first instance list, JSON without stamps")
+}
+
+async fn dispatch(matches: &ArgMatches) -> anyhow::Result<()> {
+    match matches.subcommand() {
+        Some(("platform", matches)) => run_platform(matches, Half::Both).await,
+        Some(("config", matches)) => run_platform(matches, Half::Config).await,
+        Some(("list", matches)) => run_platform(matches, Half::List).await,
+        Some(("publish", matches)) => run_publish(matches).await,
+        Some(("targets", matches)) => run_targets(matches).await,
+        _ => anyhow::bail!("unknown command"),
+    }
+}
+
+async fn run_platform(matches: &ArgMatches, half: Half) -> anyhow::Result<()> {
+    let settings = platform::Settings {
+        listen: required(matches, "listen")?,
+        half,
+        config: optional_file(matches, "config").map(read).transpose()?,
+        instances: match optional_file(matches, "instances") {
+            Some(path) => {
+                serde_json::from_str(&read(path)?).with_context(|| path.display().to_string())?
+            }
+            None => Vec::new(),
+        },
+    };
+    let platform = Platform::start(settings).await?;
+    println!("platform {}", platform.address());
+    stopped().await
+}
+
+async fn run_publish(matches: &ArgMatches) -> anyhow::Result<()> {
+    let path: PathBuf = required(matches, "FILE")?;
+    let to = required(matches, "to")?;
+    let version = publish(to, read(&path)?).await?;
+    println!("published version {version}");
+    Ok(())
+}
+
+async fn run_targets(matches: &ArgMatches) -> anyhow::Result<()> {
+    let path: PathBuf = required(matches, "spec")?;
+    let control = required(matches, "control")?;
+    let fleet = Fleet::start(spec::read(&path)?, control).await?;
+    println!("control {}", fleet.control());
+    for status in fleet.status() {
+        println!("target {} {}", status.id, status.address);
+    }
+    stopped().await
+}
+
+/// An argument that clap requires or has a default for.
+fn required<T: Clone + Send + Sync + 'static>(
+    matches: &ArgMatches,
+    name: &str,
+) -> anyhow::Result<T> {
+    let value = matches.get_one::<T>(name).cloned();
+    value.with_context(|| format!("{name} is missing"))
+}
+
+/// A file argument that may be absent or unknown to the command.
+fn optional_file<'a>(matches: &'a ArgMatches, name: &str) -> Option<&'a Path> {
+    let path = matches.try_get_one::<PathBuf>(name).ok().flatten();
+    path.map(PathBuf::as_path)
+}
+
+fn read(path: &Path) -> anyhow::Result<String> {
+    std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+}
+
+/// Waits for SIGINT or SIGTERM.
+async fn stopped() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/basilbay_fakes/src/main.rs
+++ b/crates/basilbay_fakes/src/main.rs
@@ -1,3 +1,7 @@
-//! Placeholder.
+//! `basilbay-fakes`: stand-ins for the platform, the targets and the network.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    basilbay_fakes::command::run()
+}
--- /dev/null
+++ b/crates/basilbay_fakes/src/platform/routes.rs
@@ -0,0 +1,171 @@
+//! Requests to the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use basilbay_model::id::Version;
+use hyper::body::Incoming;
+use hyper::header::{ETAG, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::config::{Fault, Text};
+use super::{Half, Shared};
+use crate::clock;
+use crate::web::{self, Answer, Closed, Result};
+
+/// Wait of a watch that names none.
+const DEFAULT_WAIT_MS: u64 = 30_000;
+
+/// Longest wait of a watch.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// Answers one request.
+pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Answer> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/config") if shared.half != Half::List => config(&shared, &request).await,
+        (&Method::GET, "/instances") if shared.half != Half::Config => instances(&shared).await,
+        (_, path) if path.starts_with("/fake/") => Ok(control(&shared, request).await),
+        _ => Ok(web::empty(StatusCode::NOT_FOUND)),
+    }
+}
+
+async fn config(shared: &Shared, request: &Request<Incoming>) -> Result<Answer> {
+    let Some(after) = web::query(request, "after") else {
+        shared.content().counts.add("/config");
+        let delay_ms = shared.content().faults.config.delay_ms;
+        delay(delay_ms).await;
+        return Ok(match current(shared)? {
+            Some(text) => tagged(&text),
+            None => web::empty(StatusCode::NOT_FOUND),
+        });
+    };
+    shared.content().counts.add("/config watch");
+    let Ok(after) = after.parse::<Version>() else {
+        return Ok(web::text(StatusCode::BAD_REQUEST, "after: not a version\n"));
+    };
+    let wait_ms = match web::query(request, "wait_ms").map(str::parse::<u64>) {
+        None => DEFAULT_WAIT_MS,
+        Some(Ok(wait_ms)) => wait_ms.min(MAX_WAIT_MS),
+        Some(Err(_)) => {
+            return Ok(web::text(
+                StatusCode::BAD_REQUEST,
+                "wait_ms: not a whole number\n",
+            ));
+        }
+    };
+    watch(shared, after, Duration::from_millis(wait_ms)).await
+}
+
+async fn watch(shared: &Shared, after: Version, wait: Duration) -> Result<Answer> {
+    let deadline = Instant::now() + wait;
+    let mut changes = shared.changes.subscribe();
+    loop {
+        changes.borrow_and_update();
+        let newer = current(shared)?.filter(|text| text.version > after);
+        if newer.is_some() {
+            break;
+        }
+        if timeout_at(deadline, changes.changed()).await.is_err() {
+            break;
+        }
+    }
+    let delay_ms = shared.content().faults.config.delay_ms;
+    delay(delay_ms).await;
+    let newer = current(shared)?.filter(|text| text.version > after);
+    Ok(newer.map_or_else(
+        || web::empty(StatusCode::NOT_MODIFIED),
+        |text| tagged(&text),
+    ))
+}
+
+fn current(shared: &Shared) -> Result<Option<Text>> {
+    let content = shared.content();
+    let fault = content.faults.config;
+    if fault.down {
+        return Err(Closed);
+    }
+    Ok(content.config.read(fault.stale_version))
+}
+
+fn tagged(text: &Text) -> Answer {
+    let mut answer = web::text(StatusCode::OK, text.bytes.clone());
+    if let Ok(tag) = HeaderValue::from_str(&format!("\"{}\"", text.version)) {
+        answer.headers_mut().insert(ETAG, tag);
+    }
+    answer
+}
+
+async fn instances(shared: &Shared) -> Result<Answer> {
+    shared.content().counts.add("/instances");
+    let delay_ms = shared.content().faults.instances.delay_ms;
+    delay(delay_ms).await;
+    let content = shared.content();
+    let fault = content.faults.instances;
+    if fault.down {
+        return Err(Closed);
+    }
+    let roster = content.list.read(clock::millis(), fault.lag_ms);
+    drop(content);
+    Ok(web::json(StatusCode::OK, &roster))
+}
+
+async fn delay(delay_ms: u64) {
+    if delay_ms > 0 {
+        sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
+
+async fn control(shared: &Shared, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    if let Some(rest) = path.strip_prefix("/fake/instances/") {
+        return instance(shared, &method, rest);
+    }
+    match (&method, path.as_str()) {
+        (&Method::PUT, "/fake/config") => publish(shared, request.into_body()).await,
+        (&Method::PUT, "/fake/instances") => {
+            let entries = web::read_json(request.into_body()).await;
+            web::done(entries.and_then(|entries| {
+                let replaced = shared.content().list.replace(entries, clock::millis());
+                replaced.map_err(anyhow::Error::from)
+            }))
+        }
+        (&Method::PUT, "/fake/faults") => {
+            let faults = web::read_json(request.into_body()).await;
+            web::done(faults.map(|faults| shared.set_faults(faults)))
+        }
+        (&Method::GET, "/fake/faults") => web::json(StatusCode::OK, &shared.content().faults),
+        (&Method::GET, "/fake/counts") => {
+            web::json(StatusCode::OK, &shared.content().counts.report())
+        }
+        _ => web::empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn instance(shared: &Shared, method: &Method, rest: &str) -> Answer {
+    let changed = match (method, rest.split_once('/')) {
+        (&Method::POST, Some((id, "leaving"))) => {
+            shared.content().list.leaving(id, clock::millis())
+        }
+        (&Method::DELETE, None) => shared.content().list.remove(rest, clock::millis()),
+        _ => return web::empty(StatusCode::NOT_FOUND),
+    };
+    match changed {
+        Ok(()) => web::empty(StatusCode::NO_CONTENT),
+        Err(fault) => web::text(StatusCode::NOT_FOUND, format!("{fault}\n")),
+    }
+}
+
+async fn publish(shared: &Shared, body: Incoming) -> Answer {
+    let text = match web::read(body).await {
+        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+        Err(error) => return web::text(StatusCode::BAD_REQUEST, format!("{error:#}\n")),
+    };
+    match shared.publish(&text) {
+        Ok(version) => web::text(StatusCode::OK, format!("{version}\n")),
+        Err(fault @ Fault::Size) => web::text(StatusCode::PAYLOAD_TOO_LARGE, format!("{fault}\n")),
+        Err(fault) => web::text(StatusCode::BAD_REQUEST, format!("{fault}\n")),
+    }
+}
--- /dev/null
+++ b/crates/basilbay_fakes/src/targets.rs
@@ -0,0 +1,126 @@
+//! Stand-ins for targets: many in one process, each with its own port, and one control listener.
+//!
+//! A target runs requests for a log-normal service time, has slots, starts cold, drains, crashes,
+//! honours cancellation and deadlines, and can be told to misbehave with a [`fault::Change`]. It
+//! keeps an account of what it ran ([`account::Run`]) and of the limits that its callers broke
+//! ([`account::Violation`]).
+
+pub mod account;
+pub mod answer;
+mod chain;
+mod control;
+pub mod fault;
+mod noise;
+mod request;
+mod serve;
+pub mod spec;
+mod worker;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Context;
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::timer::Timer;
+use crate::web;
+use worker::Worker;
+
+/// Entries of the account that one process keeps; the oldest go first.
+pub const KEPT_RUNS: usize = 2_000_000;
+
+/// The running targets of one process; dropping it stops them.
+pub struct Fleet {
+    control: SocketAddr,
+    workers: Arc<[Arc<Worker>]>,
+    _stop: DropGuard,
+}
+
+impl Fleet {
+    /// Starts targets and their control listener on the current tokio runtime.
+    pub async fn start(targets: Vec<spec::Target>, control: SocketAddr) -> anyhow::Result<Self> {
+        spec::check(&targets)?;
+        let timer = Timer::start()?;
+        let client = chain::client();
+        let kept = KEPT_RUNS / targets.len().max(1);
+        let stop = CancellationToken::new();
+        let guard = stop.clone().drop_guard();
+        let mut workers = Vec::new();
+        for target in targets {
+            let id = target.id.clone();
+            let listener = web::listen(target.listen).with_context(|| format!("target {id}"))?;
+            let address = listener.local_addr()?;
+            let parts = worker::Parts {
+                timer: timer.clone(),
+                client: client.clone(),
+                stop: stop.clone(),
+                kept,
+            };
+            let worker = Arc::new(Worker::new(target, address, parts));
+            tokio::spawn(serve::run(worker.clone(), listener));
+            workers.push(worker);
+        }
+        workers.sort_by(|left, right| left.spec.id.cmp(&right.spec.id));
+        let workers = Arc::<[Arc<Worker>]>::from(workers);
+        let listener = web::listen(control).context("control listener")?;
+        let control = listener.local_addr()?;
+        let served = workers.clone();
+        tokio::spawn(web::serve(listener, stop, move |request| {
+            control::answer(served.clone(), request)
+        }));
+        Ok(Self {
+            control,
+            workers,
+            _stop: guard,
+        })
+    }
+
+    /// Address of the control listener.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Address of a target.
+    pub fn address(&self, id: &str) -> Option<SocketAddr> {
+        self.worker(id).map(|worker| worker.address)
+    }
+
+    /// Changes the behaviour of a target; false when there is none with this id.
+    pub fn change(&self, id: &str, change: &fault::Change) -> bool {
+        let Some(worker) = self.worker(id) else {
+            return false;
+        };
+        worker.change(change);
+        true
+    }
+
+    /// State of each target, sorted by id.
+    pub fn status(&self) -> Vec<fault::Status> {
+        self.workers.iter().map(|worker| worker.status()).collect()
+    }
+
+    /// What the targets ran, by target and then in the order of the ends.
+    pub fn runs(&self) -> Vec<account::Run> {
+        self.workers
+            .iter()
+            .flat_map(|worker| worker.runs(0, usize::MAX).1)
+            .collect()
+    }
+
+    /// Limits that were broken, by target.
+    pub fn violations(&self) -> Vec<account::Violation> {
+        let workers = self.workers.iter();
+        workers.map(|worker| worker.violation()).collect()
+    }
+
+    fn worker(&self, id: &str) -> Option<&Arc<Worker>> {
+        find(&self.workers, id)
+    }
+}
+
+fn find<'a>(workers: &'a [Arc<Worker>], id: &str) -> Option<&'a Arc<Worker>> {
+    let index = workers
+        .binary_search_by(|worker| (*worker.spec.id).cmp(id))
+        .ok()?;
+    workers.get(index)
+}
--- /dev/null
+++ b/crates/basilbay_fakes/src/targets/request.rs
@@ -0,0 +1,164 @@
+//! Requests on a target's own port.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use basilbay_wire::header;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, StatusCode};
+
+use super::answer::{self, Answer, Link};
+use super::chain;
+use super::fault::Crash;
+use super::worker::{Call, Refusal, Running, Worker};
+use crate::web::{self, Closed, Result};
+
+/// What the headers of a request ask for.
+struct Wish {
+    request: Arc<str>,
+    deadline: Option<Instant>,
+    filler: Option<usize>,
+    poison: bool,
+}
+
+/// Answers one request.
+pub(super) async fn answer(worker: Arc<Worker>, request: Request<Incoming>) -> Result<web::Answer> {
+    if request.method() == Method::GET && request.uri().path() == "/load" {
+        return Ok(load(&worker).await);
+    }
+    let (parts, body) = request.into_parts();
+    let Some(kind) = worker.spec.kind(parts.uri.path()) else {
+        return Ok(web::empty(StatusCode::NOT_FOUND));
+    };
+    let wish = wish(&parts);
+    let call = Call {
+        request: wish.request.clone(),
+        key: text(&parts, header::IDEMPOTENCY_KEY).map(Arc::from),
+        kind: kind.clone(),
+    };
+    if !body.is_end_stream() && web::read(body).await.is_err() {
+        return Err(Closed);
+    }
+    match worker.begin(&call) {
+        Ok(running) => run(&worker, running, &wish, &parts).await,
+        Err(refusal) => Ok(refuse(&worker, refusal, &wish)),
+    }
+}
+
+async fn load(worker: &Arc<Worker>) -> web::Answer {
+    let probing = worker.probe();
+    let cost = Duration::from_micros(worker.spec.probe_cost_us);
+    worker.timer.until(Instant::now() + cost).await;
+    worker.resumed().await;
+    drop(probing);
+    web::json(StatusCode::OK, &worker.load())
+}
+
+fn wish(parts: &Parts) -> Wish {
+    let timeout = text(parts, header::TIMEOUT_MS).and_then(|value| value.parse::<u64>().ok());
+    let filler = text(parts, answer::BODY_BYTES).and_then(|value| value.parse::<usize>().ok());
+    Wish {
+        request: Arc::from(text(parts, answer::REQUEST_ID).unwrap_or_default()),
+        deadline: timeout.map(|millis| Instant::now() + Duration::from_millis(millis)),
+        filler: filler.map(|count| count.min(answer::MAX_BODY_BYTES)),
+        poison: text(parts, answer::POISON) == Some("1"),
+    }
+}
+
+/// Text of a header.
+fn text<'a>(parts: &'a Parts, name: &str) -> Option<&'a str> {
+    parts.headers.get(name)?.to_str().ok()
+}
+
+fn refuse(worker: &Worker, refusal: Refusal, wish: &Wish) -> web::Answer {
+    match refusal {
+        Refusal::Fail => reply(worker, StatusCode::INTERNAL_SERVER_ERROR, wish, false, None),
+        Refusal::Shed => {
+            let mut reply = reply(worker, StatusCode::SERVICE_UNAVAILABLE, wish, false, None);
+            let seconds = HeaderValue::from_static("1");
+            reply.headers_mut().insert(RETRY_AFTER, seconds);
+            reply
+        }
+    }
+}
+
+async fn run(
+    worker: &Arc<Worker>,
+    running: Running,
+    wish: &Wish,
+    parts: &Parts,
+) -> Result<web::Answer> {
+    if wish.poison {
+        return poison(worker, running).await;
+    }
+    if !wait(worker, running.end, wish.deadline).await {
+        drop(running);
+        return Ok(reply(worker, StatusCode::GATEWAY_TIMEOUT, wish, true, None));
+    }
+    let link = match text(parts, answer::CHAIN) {
+        Some(services) => chain::call(worker, parts, services, wish.deadline).await,
+        None => None,
+    };
+    if !running.finish() {
+        return Err(Closed);
+    }
+    let is_good = link.as_ref().is_none_or(|link| link.status == 200);
+    let status = if is_good {
+        StatusCode::OK
+    } else {
+        StatusCode::BAD_GATEWAY
+    };
+    Ok(reply(worker, status, wish, true, link))
+}
+
+/// Runs a request that crashes the target half-way.
+async fn poison(worker: &Arc<Worker>, running: Running) -> Result<web::Answer> {
+    let left = running.end.saturating_duration_since(Instant::now());
+    worker.timer.until(Instant::now() + left / 2).await;
+    worker.crash(Crash::default());
+    drop(running);
+    Err(Closed)
+}
+
+/// Waits for the end of the work and of a pause; false when the deadline passes first.
+async fn wait(worker: &Worker, end: Instant, deadline: Option<Instant>) -> bool {
+    let work = async {
+        worker.timer.until(end).await;
+        worker.resumed().await;
+    };
+    let Some(deadline) = deadline else {
+        work.await;
+        return true;
+    };
+    tokio::select! {
+        biased;
+        () = work => true,
+        () = worker.timer.until(deadline) => false,
+    }
+}
+
+fn reply(
+    worker: &Worker,
+    status: StatusCode,
+    wish: &Wish,
+    ran: bool,
+    link: Option<Link>,
+) -> web::Answer {
+    let answer = Answer {
+        target: worker.spec.id.clone(),
+        request: wish.request.to_string(),
+        ran,
+        chain: link.map(Box::new),
+    };
+    let mut reply = web::json(status, &answer);
+    let filler = wish.filler.filter(|_| status == StatusCode::OK);
+    if let Some(count) = filler {
+        let mut bytes = serde_json::to_vec(&answer).unwrap_or_default();
+        bytes.push(b'\n');
+        bytes.extend(answer::filler(&wish.request, count));
+        *reply.body_mut() = web::body(bytes);
+    }
+    reply
+}
--- /dev/null
+++ b/crates/basilbay_fakes/tests/targets.rs
@@ -0,0 +1,240 @@
+//! Targets: how they run requests, what they refuse and what they account for.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use basilbay_fakes::client::{request, send, with_header};
+use basilbay_fakes::targets::account::{Outcome, Run};
+use basilbay_fakes::targets::answer::{Answer, is_whole};
+use basilbay_fakes::targets::fault::{Change, Load};
+use basilbay_fakes::targets::spec::Target;
+use basilbay_fakes::targets::{Fleet, answer};
+use bytes::Bytes;
+use futures::future::join_all;
+use hyper::{Method, Response, StatusCode};
+
+const FREE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+fn warm(median_us: u64) -> Target {
+    let mut target = Target::new("t1", "paydesk", median_us);
+    target.cold.warm_after = 0;
+    target
+}
+
+async fn start(target: Target) -> Fleet {
+    Fleet::start(vec![target], FREE).await.expect("works")
+}
+
+async fn call(
+    fleet: &Fleet,
+    id: &str,
+    headers: &[(&'static str, &str)],
+) -> anyhow::Result<Response<Bytes>> {
+    let mut call = with_header(request(Method::POST, "/pay", "x"), answer::REQUEST_ID, id);
+    for (name, value) in headers {
+        call = with_header(call, name, value);
+    }
+    send(fleet.address("t1").expect("works"), call).await
+}
+
+async fn control(fleet: &Fleet, change: &str) {
+    let put = request(Method::PUT, "/fake/targets/t1", change.to_owned());
+    let answer = send(fleet.control(), put).await.expect("works");
+    assert_eq!(answer.status(), StatusCode::NO_CONTENT);
+}
+
+async fn load(fleet: &Fleet) -> Load {
+    let get = request(Method::GET, "/load", "");
+    let answer = send(fleet.address("t1").expect("works"), get)
+        .await
+        .expect("works");
+    serde_json::from_slice(answer.body()).expect("works")
+}
+
+async fn many(fleet: &Fleet, count: usize) -> Vec<anyhow::Result<Response<Bytes>>> {
+    join_all((0..count).map(|_| call(fleet, "many", &[]))).await
+}
+
+/// Waits for the runs that a dropped connection ends shortly after.
+async fn runs(fleet: &Fleet, count: usize) -> Vec<Run> {
+    for _ in 0..200 {
+        if fleet.runs().len() >= count {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.runs()
+}
+
+/// Guards against answers that a client cannot tell from those to other requests.
+#[tokio::test]
+async fn own_answer() {
+    let fleet = start(warm(500)).await;
+    let headers = [(answer::BODY_BYTES, "3000"), ("idempotency-key", "k1")];
+    let reply = call(&fleet, "r1", &headers).await.unwrap();
+    assert!(is_whole("r1", 3000, reply.body()));
+    assert!(!is_whole("r2", 3000, reply.body()));
+    assert!(!is_whole("r1", 3000, &reply.body()[..2000]));
+    let run = &runs(&fleet, 1).await[0];
+    assert_eq!((&*run.request, run.key.as_deref()), ("r1", Some("k1")));
+    assert_eq!((run.outcome, run.in_flight_at_start), (Outcome::Done, 1));
+    assert!(run.end_us - run.start_us >= 400);
+}
+
+/// Guards against overload that is not slowed, not counted or never refused.
+#[tokio::test]
+async fn overload_refused() {
+    let mut target = warm(100_000);
+    target.slots = 2;
+    let fleet = start(target).await;
+    let replies = many(&fleet, 6).await;
+    let refused = replies
+        .iter()
+        .flatten()
+        .filter(|reply| reply.status() == 503);
+    assert_eq!(refused.count(), 2);
+    assert_eq!(fleet.violations()[0].over_slots, 4);
+    let slowest = fleet
+        .runs()
+        .iter()
+        .map(|run| run.end_us - run.start_us)
+        .max();
+    assert!(slowest >= Some(290_000), "{slowest:?}");
+}
+
+/// Guards against targets that are never cold, or that stay cold.
+#[tokio::test]
+async fn cold_start() {
+    let mut target = Target::new("t1", "paydesk", 20_000);
+    target.cold.warm_after = 3;
+    let fleet = start(target).await;
+    assert_eq!(load(&fleet).await.state, "cold");
+    many(&fleet, 3).await;
+    assert_eq!(fleet.violations()[0].over_cold, 1);
+    assert_eq!(load(&fleet).await.state, "warm");
+    control(&fleet, r#"{"cool": true}"#).await;
+    assert_eq!(load(&fleet).await.state, "warm");
+    assert!(fleet.status()[0].cold);
+}
+
+/// Guards against work that goes on after its client left or its deadline passed.
+#[tokio::test]
+async fn stopped_work() {
+    let fleet = start(warm(2_000_000)).await;
+    let left = tokio::time::timeout(Duration::from_millis(50), call(&fleet, "left", &[])).await;
+    assert!(left.is_err());
+    let reply = call(&fleet, "late", &[("basilbay-timeout-ms", "30")])
+        .await
+        .unwrap();
+    assert_eq!(reply.status(), StatusCode::GATEWAY_TIMEOUT);
+    let runs = runs(&fleet, 2).await;
+    assert!(runs.iter().all(|run| run.outcome == Outcome::Cancelled));
+    assert!(runs.iter().all(|run| run.end_us - run.start_us < 1_000_000));
+    assert_eq!(fleet.status()[0].in_flight, 0);
+}
+
+/// Guards against a crash that leaves other requests running, or a port that stays closed or open.
+#[tokio::test]
+async fn poison_crashes() {
+    let mut target = warm(100_000);
+    target.restart_ms = 150;
+    let fleet = start(target).await;
+    let other = call(&fleet, "other", &[]);
+    let poison = call(&fleet, "poison", &[(answer::POISON, "1")]);
+    let (other, poison) = tokio::join!(other, poison);
+    assert!(other.is_err() && poison.is_err());
+    assert!(call(&fleet, "refused", &[]).await.is_err());
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    assert!(call(&fleet, "back", &[]).await.is_ok());
+    let runs = runs(&fleet, 3).await;
+    let crashed = runs.iter().filter(|run| run.outcome == Outcome::Crashed);
+    assert_eq!((runs.len(), crashed.count()), (3, 2));
+}
+
+/// Guards against control changes that have no effect.
+#[tokio::test]
+async fn told_faults() {
+    let fleet = start(warm(1_000)).await;
+    control(&fleet, r#"{"fail_fast": true}"#).await;
+    assert_eq!(call(&fleet, "f", &[]).await.unwrap().status(), 500);
+    control(&fleet, r#"{"fail_fast": false, "shed": true}"#).await;
+    let shed = call(&fleet, "s", &[]).await.unwrap();
+    let body: Answer = serde_json::from_slice(shed.body()).unwrap();
+    assert_eq!((shed.status().as_u16(), body.ran), (503, false));
+    control(&fleet, r#"{"shed": false, "drain": true, "pause_ms": 100}"#).await;
+    let begin = Instant::now();
+    assert_eq!(call(&fleet, "d", &[]).await.unwrap().status(), 200);
+    assert!(begin.elapsed() >= Duration::from_millis(90));
+    assert_eq!(fleet.violations()[0].while_draining, 1);
+    control(&fleet, r#"{"straggle": {"factor": 50, "for_ms": 1000}}"#).await;
+    let begin = Instant::now();
+    call(&fleet, "g", &[]).await.unwrap();
+    assert!(begin.elapsed() >= Duration::from_millis(45));
+    control(&fleet, r#"{"load": {"in_flight": 9, "state": "idle"}}"#).await;
+    let lie = load(&fleet).await;
+    assert_eq!((lie.in_flight, lie.state.as_str()), (9, "idle"));
+}
+
+/// Guards against noise that slows nothing.
+#[tokio::test]
+async fn noisy_neighbours() {
+    let fleet = start(warm(2_000)).await;
+    let noise = r#"{"noise": {"factor": 20, "interval_ms": 1, "duration_ms": 100000}}"#;
+    control(&fleet, noise).await;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    call(&fleet, "n", &[]).await.unwrap();
+    let run = &fleet.runs()[0];
+    assert!(run.end_us - run.start_us >= 30_000);
+}
+
+/// Guards against connections above the limit, which real targets refuse.
+#[tokio::test]
+async fn connection_limit() {
+    let mut target = warm(50_000);
+    target.connections = 2;
+    let fleet = start(target).await;
+    let replies = many(&fleet, 3).await;
+    assert_eq!(replies.iter().filter(|reply| reply.is_ok()).count(), 2);
+    assert_eq!(fleet.violations()[0].over_connections, 1);
+}
+
+/// Guards against chains that lose the headers or the rest of the services.
+#[tokio::test]
+async fn call_chain() {
+    let last = start(warm(500)).await;
+    let mut target = warm(500);
+    target.entry = last.address("t1");
+    let first = start(target).await;
+    let headers = [
+        (answer::CHAIN, "paydesk/pay"),
+        ("basilbay-timeout-ms", "900"),
+    ];
+    let reply = call(&first, "c", &headers).await.unwrap();
+    let body: Answer = serde_json::from_slice(reply.body()).unwrap();
+    let link = body.chain.unwrap();
+    assert_eq!(
+        (link.status, link.answer.unwrap().request.as_str()),
+        (200, "c/paydesk")
+    );
+    assert_eq!(last.runs().len(), 1);
+}
+
+/// Guards against an account that the control listener cuts short.
+#[tokio::test]
+async fn streamed_account() {
+    let fleet = start(warm(0)).await;
+    for _ in 0..600 {
+        call(&fleet, "a", &[]).await.unwrap();
+    }
+    let get = request(Method::GET, "/fake/runs", "");
+    let answer = send(fleet.control(), get).await.unwrap();
+    let text = std::str::from_utf8(answer.body()).unwrap();
+    let parsed: Vec<Run> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
+    assert_eq!(parsed, fleet.runs());
+    assert_eq!(parsed.len(), 600);
+    let everything = Change::default();
+    assert!(!fleet.change("unknown", &everything));
+}
