--- /dev/null
+++ b/crates/basilbay_model/tests/examples.rs
@@ -0,0 +1,41 @@
+//! The example files of both deployments.
+
+use basilbay_model::config::Config;
+
+const CARONI: &str = include_str!("../../../examples/caroni.ini");
+const OZOLINI: &str = include_str!("../../../examples/ozolini.ini");
+
+/// Guards against an example that the checker rejects or that leaves a deployment's size.
+#[test]
+fn examples_parse() {
+    for (text, connections) in [(CARONI, 260), (OZOLINI, 240)] {
+        let config = Config::parse("example", text).unwrap();
+        assert_eq!(config.domains.len(), 4);
+        assert_eq!(config.services.len(), 3);
+        for service in &config.services {
+            assert_eq!(service.contract.slots, 18);
+            assert_eq!(service.contract.connections, connections);
+        }
+    }
+}
+
+/// Guards against a request that must not run twice being treated as idempotent.
+#[test]
+fn writes_once() {
+    let caroni = Config::parse("caroni.ini", CARONI).unwrap();
+    let ozolini = Config::parse("ozolini.ini", OZOLINI).unwrap();
+    let writes = [
+        (&caroni, "slotdesk", "/bookings"),
+        (&caroni, "paydesk", "/payments"),
+        (&ozolini, "orders-house", "/orders"),
+        (&ozolini, "press-room", "/batches"),
+    ];
+    for (config, service, path) in writes {
+        let service = config.service(service).unwrap();
+        assert!(!service.kind("POST", path).unwrap().idempotent);
+        let read = service.kind("GET", path);
+        assert!(read.is_none_or(|kind| kind.idempotent));
+    }
+    let fit = caroni.service("fitfinder").unwrap().kind("GET", "/fit");
+    assert!(fit.unwrap().idempotent);
+}
