Report every mistake of a configuration file under its own rule

The library stops at the first syntax error, joins a line without = with the next one and keeps no lines, so a mistake could hide others or move keys to another section; [limits x] was ignored, and duplicates were looked up in quadratic time. A configuration prints as a file that parses to the same one, and config::diff compares two.

--- a/crates/basilbay_model/src/config.rs
+++ b/crates/basilbay_model/src/config.rs
@@ -1,10 +1,18 @@
 //! The configuration that operators publish.
 //!
 //! A file is applied as a whole: [`Config::parse`] either accepts all of it or returns every
-//! finding, and then the former configuration stays in force.
+//! finding, and then the former configuration stays in force. [`rule::ALL`] lists what the checker
+//! holds files to, [`diff::between`] compares two configurations, and [`Config`] prints as a file
+//! that parses to the same configuration.
 
+mod check;
+pub mod diff;
 pub mod parse;
+pub mod print;
+pub mod range;
+pub mod rule;
 
+use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -63,6 +71,11 @@
         parse::config(file, text)
     }
 
+    /// Reads the bytes of a file; all findings are reported together.
+    pub fn parse_bytes(file: &str, bytes: &[u8]) -> Result<Self> {
+        parse::bytes(file, bytes)
+    }
+
     /// Finds a service by id.
     pub fn service(&self, id: &str) -> Option<&Service> {
         let index = self
@@ -87,3 +100,9 @@
             .is_some_and(|domain| domain.state == State::In)
     }
 }
+
+impl fmt::Display for Config {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        print::write(self, out)
+    }
+}
--- /dev/null
+++ b/crates/basilbay_model/src/config/check.rs
@@ -0,0 +1,165 @@
+//! Checks of ids, paths and methods, and of kinds against each other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::range;
+use crate::finding::Report;
+use crate::ini::{Document, Reader, Section};
+use crate::kind::Kind;
+use crate::service::Service;
+
+/// Checks the id of a service, which callers put in the host name.
+pub(super) fn service_id(document: &Document, section: &Section, id: &str, report: &mut Report) {
+    let labels_fit = id.split('.').all(|label| {
+        !label.is_empty()
+            && !label.starts_with('-')
+            && !label.ends_with('-')
+            && label
+                .bytes()
+                .all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-')
+    });
+    if id.is_empty() || (labels_fit && range::ID_LENGTH.contains(&id.len())) {
+        return;
+    }
+    let message = format!(
+        "'{id}' cannot be a host name: lower-case letters, digits and inner hyphens, at most {} \
+         characters",
+        range::ID_LENGTH.end()
+    );
+    report.push(document.finding(section.line, &section.name, "", "id", message));
+}
+
+/// Why a domain, region or kind cannot have this id.
+pub(super) fn plain_id(id: &str) -> Option<String> {
+    let fits = id
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.'));
+    if fits && range::ID_LENGTH.contains(&id.len()) {
+        return None;
+    }
+    Some(format!(
+        "'{id}' is not an id: ASCII letters, digits, '-', '_' and '.', from 1 to {} characters",
+        range::ID_LENGTH.end()
+    ))
+}
+
+/// Checks the path prefix of a kind.
+pub(super) fn path(reader: &mut Reader<'_>, path: &str) {
+    if path.is_empty() {
+        return;
+    }
+    let visible = path
+        .bytes()
+        .all(|byte| byte.is_ascii_graphic() && !matches!(byte, b'?' | b'#'));
+    if path.starts_with('/') && visible && range::PATH_LENGTH.contains(&path.len()) {
+        return;
+    }
+    let message = format!(
+        "must start with / and be visible ASCII without ? and #, at most {} characters",
+        range::PATH_LENGTH.end()
+    );
+    reader.found("path", "path", message);
+}
+
+/// Checks the methods of a kind, which are sorted.
+pub(super) fn methods(reader: &mut Reader<'_>, methods: &[Arc<str>]) {
+    for method in methods {
+        let fits = method
+            .bytes()
+            .all(|byte| byte.is_ascii_uppercase() || byte == b'-');
+        if !fits {
+            let message = format!("'{method}' is not a method in upper-case letters");
+            reader.found("methods", "method", message);
+        }
+    }
+    let mut pairs = methods.iter().zip(methods.iter().skip(1));
+    if let Some((method, _)) = pairs.find(|(left, right)| left == right) {
+        let message = format!("'{method}' is stated twice");
+        reader.found("methods", "method", message);
+    }
+}
+
+/// Checks deadlines against the time that keys are remembered.
+pub(super) fn deadlines(
+    document: &Document,
+    services: &[Service],
+    retention: Duration,
+    report: &mut Report,
+) {
+    let kinds = services
+        .iter()
+        .flat_map(|service| service.kinds.iter().map(move |kind| (service, kind)));
+    for (service, kind) in kinds.filter(|(_, kind)| kind.timeout > retention) {
+        let message = format!(
+            "{} ms is longer than key_retention_ms ({})",
+            kind.timeout.as_millis(),
+            retention.as_millis()
+        );
+        let name = format!("kind {}/{}", service.id, kind.id);
+        let Some(section) = document.section(&name) else {
+            continue;
+        };
+        let line = section
+            .entry("deadline_ms")
+            .map_or(section.line, |entry| entry.line);
+        report.push(document.finding(line, &name, "deadline_ms", "retention", message));
+    }
+}
+
+/// Checks the kinds of a service against each other.
+///
+/// A longer path always wins, so only kinds with the same path can take requests from each other.
+pub(super) fn kinds(document: &Document, service: &Service, report: &mut Report) {
+    let mut rest = service.kinds.as_slice();
+    while let Some(first) = rest.first() {
+        let count = rest
+            .iter()
+            .take_while(|kind| kind.path == first.path)
+            .count();
+        let (group, others) = rest.split_at(count);
+        same_path(document, service, group, report);
+        rest = others;
+    }
+}
+
+/// Checks the kinds of one path, in the order in which requests are matched.
+fn same_path(document: &Document, service: &Service, group: &[Kind], report: &mut Report) {
+    for (index, kind) in group.iter().enumerate() {
+        let earlier = group.get(..index).unwrap_or_default();
+        let Some((rule, message)) = conflict(kind, earlier) else {
+            continue;
+        };
+        let name = format!("kind {}/{}", service.id, kind.id);
+        let line = document.section(&name).map_or(0, |section| section.line);
+        report.push(document.finding(line, &name, "", rule, message));
+    }
+}
+
+fn conflict(kind: &Kind, earlier: &[Kind]) -> Option<(&'static str, String)> {
+    // Kinds of one id are a duplicate section, which is reported as such.
+    if earlier.iter().any(|other| other.id == kind.id) {
+        return None;
+    }
+    if let Some(other) = earlier.iter().find(|other| other.methods == kind.methods) {
+        let message = format!("same path and methods as kind {}", other.id);
+        return Some(("duplicate-kind", message));
+    }
+    let takes = |method: &Arc<str>| earlier.iter().any(|other| other.methods.contains(method));
+    let taken: Vec<&str> = kind
+        .methods
+        .iter()
+        .filter(|method| takes(method))
+        .map(|method| &**method)
+        .collect();
+    if taken.is_empty() {
+        return None;
+    }
+    let words = taken.join(", ");
+    if taken.len() == kind.methods.len() {
+        let message = format!("other kinds of path {} take {words}", kind.path);
+        return Some(("covered-kind", message));
+    }
+    let message = format!("another kind of path {} takes {words} too", kind.path);
+    Some(("overlapping-kind", message))
+}
--- /dev/null
+++ b/crates/basilbay_model/src/config/print.rs
@@ -0,0 +1,125 @@
+//! A configuration as INI text.
+//!
+//! Every key is stated, defaults too, in whole units of the key: a duration that is not one is cut
+//! down, which a parsed configuration never has.
+
+use std::fmt;
+use std::sync::Arc;
+
+use super::parse::{POLICIES, STATES};
+use super::{Config, Limits};
+use crate::domain::{Domain, State};
+use crate::kind::Kind;
+use crate::service::{Contract, Policy, Service};
+
+/// A section with its keys and values, as the file states them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Section {
+    /// Name in brackets.
+    pub name: Arc<str>,
+    /// Keys with their values.
+    pub entries: Vec<(&'static str, String)>,
+}
+
+/// All sections: the version, the limits, then domains, services and kinds by id.
+pub fn sections(config: &Config) -> Vec<Section> {
+    let version = section("basilbay", vec![("version", config.version.to_string())]);
+    let mut sections = vec![version, limits(&config.limits)];
+    sections.extend(config.domains.iter().map(domain));
+    for known in &config.services {
+        sections.push(service(known));
+        sections.extend(known.kinds.iter().map(|entry| kind(known, entry)));
+    }
+    sections
+}
+
+/// Writes the text.
+pub fn write(config: &Config, out: &mut dyn fmt::Write) -> fmt::Result {
+    for (index, section) in sections(config).iter().enumerate() {
+        if index > 0 {
+            writeln!(out)?;
+        }
+        writeln!(out, "[{}]", section.name)?;
+        for (key, value) in &section.entries {
+            writeln!(out, "{key} = {value}")?;
+        }
+    }
+    Ok(())
+}
+
+fn section(name: &str, entries: Vec<(&'static str, String)>) -> Section {
+    Section {
+        name: Arc::from(name),
+        entries,
+    }
+}
+
+fn limits(limits: &Limits) -> Section {
+    let entries = vec![
+        ("retry_percent", limits.retry_percent.to_string()),
+        ("allowance", limits.allowance.to_string()),
+        (
+            "key_retention_ms",
+            limits.key_retention.as_millis().to_string(),
+        ),
+        ("key_memory_bytes", limits.key_memory_bytes.to_string()),
+    ];
+    section("limits", entries)
+}
+
+fn domain(domain: &Domain) -> Section {
+    let mut entries = Vec::new();
+    if !domain.region.is_empty() {
+        entries.push(("region", domain.region.to_string()));
+    }
+    entries.push(("state", state(domain.state)));
+    section(&format!("domain {}", domain.id), entries)
+}
+
+fn service(service: &Service) -> Section {
+    let mut entries = vec![
+        ("state", state(service.state)),
+        ("policy", policy(service.policy)),
+    ];
+    entries.extend(contract(&service.contract));
+    section(&format!("service {}", service.id), entries)
+}
+
+fn contract(contract: &Contract) -> Vec<(&'static str, String)> {
+    vec![
+        ("slots", contract.slots.to_string()),
+        ("connections", contract.connections.to_string()),
+        ("queue", contract.queue.to_string()),
+        ("cold_slots", contract.cold_slots.to_string()),
+        ("warm_after", contract.warm_after.to_string()),
+        ("probe_permille", contract.probe_permille.to_string()),
+        ("probe_cost_us", contract.probe_cost.as_micros().to_string()),
+    ]
+}
+
+fn kind(service: &Service, kind: &Kind) -> Section {
+    let mut entries = vec![("path", kind.path.to_string())];
+    if !kind.methods.is_empty() {
+        entries.push(("methods", kind.methods.join(" ")));
+    }
+    let idempotent = if kind.idempotent { "yes" } else { "no" };
+    entries.push(("weight", kind.weight.to_string()));
+    entries.push(("idempotent", idempotent.to_owned()));
+    entries.push(("deadline_ms", kind.timeout.as_millis().to_string()));
+    section(&format!("kind {}/{}", service.id, kind.id), entries)
+}
+
+fn state(state: State) -> String {
+    word(&STATES, state)
+}
+
+fn policy(policy: Policy) -> String {
+    word(&POLICIES, policy)
+}
+
+fn word<T: Copy + PartialEq>(words: &[(&str, T)], value: T) -> String {
+    words
+        .iter()
+        .find(|(_, known)| *known == value)
+        .map_or_else(String::new, |(word, _)| (*word).to_owned())
+}
--- a/crates/basilbay_model/src/ini.rs
+++ b/crates/basilbay_model/src/ini.rs
@@ -1,15 +1,18 @@
 //! INI text with the line of each section and key.
 //!
-//! The library parses the text; this module adds the lines, which the library does not keep, and
-//! typed getters that turn a bad value into a [`Finding`] and a default.
+//! The library parses the text. It stops at the first error, joins lines that have no `=`, and
+//! keeps no lines, so [`line`] first reports every line that is not INI and hands on the others.
+//! [`Reader`] has typed getters that turn a bad value into a [`Finding`] and a default.
 
-use std::fmt::Display;
-use std::str::FromStr;
+mod line;
+mod reader;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use ini::{Ini, ParseOption};
 
+pub use self::reader::Reader;
 use crate::finding::{Finding, Report};
 
 /// One key with its value and line.
@@ -26,7 +29,7 @@
 /// One section with its entries in the order of the file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Section {
-    /// Name in brackets, empty before the first section.
+    /// Name in brackets, with single spaces; empty before the first section.
     pub name: Arc<str>,
     /// Line of the header, counted from 1.
     pub line: usize,
@@ -58,42 +61,36 @@
     pub sections: Vec<Section>,
 }
 
-/// Line of a header or key, as found by the scan.
-struct Place {
-    section: Arc<str>,
-    key: Option<Arc<str>>,
-    line: usize,
-}
-
 impl Document {
     /// Parses a text; syntax errors and duplicates become findings.
     pub fn parse(file: &str, text: &str, report: &mut Report) -> Self {
-        let file = Arc::<str>::from(file);
-        let places = scan(text);
+        let mut document = Self {
+            file: Arc::from(file),
+            sections: Vec::new(),
+        };
+        let cleaned = line::clean(&document.file, text, report);
         let option = ParseOption {
             enabled_escape: false,
             enabled_quote: false,
             ..ParseOption::default()
         };
-        let mut document = Self {
-            file,
-            sections: Vec::new(),
-        };
-        match Ini::load_from_str_opt(text, option) {
-            Ok(parsed) => document.fill(&parsed, &places),
-            Err(error) => report.push(Finding {
-                file: document.file.clone(),
-                line: error.line,
-                section: Arc::from(""),
-                key: Arc::from(""),
-                rule: "syntax",
-                message: format!("not INI: {}", error.msg),
-            }),
+        match Ini::load_from_str_opt(&cleaned.text, option) {
+            Ok(parsed) => document.fill(&parsed, &cleaned),
+            Err(error) => {
+                let message = format!("not INI: {}", error.msg);
+                report.push(document.finding(error.line, "", "", "syntax", message));
+            }
         }
-        document.find_duplicates(&places, report);
+        document.find_duplicates(report);
         document
     }
 
+    /// Parses bytes; bytes that are not UTF-8 are a finding and leave an empty document.
+    pub fn parse_bytes(file: &str, bytes: &[u8], report: &mut Report) -> Self {
+        let text = decode(file, bytes, report).unwrap_or_default();
+        Self::parse(file, text, report)
+    }
+
     /// Sections whose name starts with `word`.
     pub fn sections_of<'a>(&'a self, word: &'a str) -> impl Iterator<Item = &'a Section> {
         self.sections
@@ -106,223 +103,131 @@
         self.sections.iter().find(|section| &*section.name == name)
     }
 
-    fn fill(&mut self, parsed: &Ini, places: &[Place]) {
+    /// Finds a section by its whole name, or reports that it is missing.
+    pub fn required_section(&self, name: &str, report: &mut Report) -> Option<&Section> {
+        let section = self.section(name);
+        if section.is_none() {
+            let message = format!("no [{name}] section");
+            report.push(self.finding(0, name, "", "missing-section", message));
+        }
+        section
+    }
+
+    /// Reports sections that are not among the `plain` ones and the ones that are `named` by an
+    /// id, as well as names with a missing or superfluous id.
+    pub fn check_sections(&self, plain: &[&str], named: &[&str], report: &mut Report) {
+        for section in &self.sections {
+            let (word, id) = section.split_name();
+            let (rule, message) = if section.name.is_empty() {
+                let message = "keys before the first section belong to none".to_owned();
+                ("key-outside", message)
+            } else if plain.contains(&word) {
+                if id.is_empty() {
+                    continue;
+                }
+                ("section-id", format!("takes no id; write [{word}]"))
+            } else if named.contains(&word) {
+                if !id.is_empty() {
+                    continue;
+                }
+                ("section-id", format!("needs an id, as in [{word} ID]"))
+            } else {
+                let known = [plain, named].concat().join(", ");
+                let message = format!("unknown section; known are {known}");
+                ("unknown-section", message)
+            };
+            report.push(self.finding(section.line, &section.name, "", rule, message));
+        }
+    }
+
+    /// Makes a finding in this file.
+    pub fn finding(
+        &self,
+        line: usize,
+        section: &str,
+        key: &str,
+        rule: &'static str,
+        message: String,
+    ) -> Finding {
+        Finding {
+            file: self.file.clone(),
+            line,
+            section: Arc::from(section),
+            key: Arc::from(key),
+            rule,
+            message,
+        }
+    }
+
+    fn fill(&mut self, parsed: &Ini, cleaned: &line::Cleaned) {
+        let mut headers = cleaned.headers.iter().copied();
+        let mut keys = cleaned.keys.iter().copied();
         for (name, properties) in parsed.iter() {
-            let name = name.unwrap_or_default();
-            if name.is_empty() && properties.is_empty() {
-                continue;
-            }
-            let entries = properties
+            let line = match name {
+                Some(_) => headers.next().unwrap_or(0),
+                None => 1,
+            };
+            let entries: Vec<Entry> = properties
                 .iter()
                 .map(|(key, value)| Entry {
                     key: Arc::from(key),
                     value: Arc::from(value.trim()),
-                    line: line_of(places, name, Some(key)),
+                    line: keys.next().unwrap_or(0),
                 })
                 .collect();
-            self.sections.push(Section {
-                name: Arc::from(name),
-                line: line_of(places, name, None),
-                entries,
-            });
-        }
-    }
-
-    fn find_duplicates(&self, places: &[Place], report: &mut Report) {
-        for (index, place) in places.iter().enumerate() {
-            let seen_before = places
-                .iter()
-                .take(index)
-                .any(|earlier| earlier.section == place.section && earlier.key == place.key);
-            if !seen_before {
+            if name.is_none() && entries.is_empty() {
                 continue;
             }
-            report.push(Finding {
-                file: self.file.clone(),
-                line: place.line,
-                section: place.section.clone(),
-                key: place.key.clone().unwrap_or_else(|| Arc::from("")),
-                rule: "duplicate",
-                message: "stated twice".to_owned(),
-            });
-        }
-    }
-}
-
-fn line_of(places: &[Place], section: &str, key: Option<&str>) -> usize {
-    places
-        .iter()
-        .find(|place| &*place.section == section && place.key.as_deref() == key)
-        .map_or(0, |place| place.line)
-}
-
-fn scan(text: &str) -> Vec<Place> {
-    let mut section = Arc::<str>::from("");
-    let mut places = Vec::new();
-    for (index, line) in text.lines().enumerate() {
-        let line = line.trim();
-        if line.starts_with('#') || line.starts_with(';') {
-            continue;
-        }
-        if let Some(header) = line.strip_prefix('[') {
-            let name = header.split(']').next().unwrap_or_default();
-            section = Arc::from(name.trim());
-            places.push(Place {
-                section: section.clone(),
-                key: None,
-                line: index + 1,
-            });
-        } else if let Some((key, _)) = line.split_once(['=', ':']) {
-            places.push(Place {
-                section: section.clone(),
-                key: Some(Arc::from(key.trim())),
-                line: index + 1,
+            self.sections.push(Section {
+                name: Arc::from(name.unwrap_or_default()),
+                line,
+                entries,
             });
         }
     }
-    places
-}
 
-/// Reads typed values from one section and collects findings.
-pub struct Reader<'a> {
-    file: &'a Arc<str>,
-    section: &'a Section,
-    report: &'a mut Report,
-    known: Vec<&'static str>,
-}
-
-impl<'a> Reader<'a> {
-    /// Starts to read a section.
-    pub fn new(document: &'a Document, section: &'a Section, report: &'a mut Report) -> Self {
-        Self {
-            file: &document.file,
-            section,
-            report,
-            known: Vec::new(),
-        }
-    }
-
-    /// Reads a required text.
-    pub fn text(&mut self, key: &'static str) -> Arc<str> {
-        match self.raw(key) {
-            Some(value) => value,
-            None => {
-                self.missing(key);
-                Arc::from("")
+    fn find_duplicates(&self, report: &mut Report) {
+        let mut sections = BTreeMap::new();
+        for section in &self.sections {
+            let first = *sections.entry(&section.name).or_insert(section.line);
+            if first != section.line {
+                let message = format!("already stated in line {first}");
+                let name = &section.name;
+                report.push(self.finding(section.line, name, "", "duplicate-section", message));
             }
+            self.find_duplicate_keys(section, report);
         }
     }
 
-    /// Reads an optional text.
-    pub fn optional_text(&mut self, key: &'static str) -> Option<Arc<str>> {
-        self.raw(key)
-    }
-
-    /// Reads a required value, or reports and returns `None`.
-    pub fn required<T>(&mut self, key: &'static str) -> Option<T>
-    where
-        T: FromStr,
-        T::Err: Display,
-    {
-        match self.raw(key) {
-            Some(value) => self.parsed(key, &value),
-            None => {
-                self.missing(key);
-                None
+    fn find_duplicate_keys(&self, section: &Section, report: &mut Report) {
+        let mut keys = BTreeMap::new();
+        for entry in &section.entries {
+            let first = *keys.entry(&entry.key).or_insert(entry.line);
+            if first != entry.line {
+                let message = format!("already stated in line {first}");
+                let (name, key) = (&section.name, &entry.key);
+                report.push(self.finding(entry.line, name, key, "duplicate-key", message));
             }
         }
     }
+}
 
-    /// Reads a value, or its default where the key is absent.
-    pub fn value<T>(&mut self, key: &'static str, default: T) -> T
-    where
-        T: FromStr,
-        T::Err: Display,
-    {
-        match self.raw(key) {
-            Some(value) => self.parsed(key, &value).unwrap_or(default),
-            None => default,
-        }
-    }
-
-    /// Reads a duration in whole milliseconds.
-    pub fn millis(&mut self, key: &'static str, default: Duration) -> Duration {
-        let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
-        Duration::from_millis(self.value(key, default))
-    }
-
-    /// Reads one of a fixed list of words.
-    pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)], default: T) -> T {
-        let Some(value) = self.raw(key) else {
-            return default;
-        };
-        if let Some((_, choice)) = choices.iter().find(|(word, _)| *word == &*value) {
-            return *choice;
-        }
-        let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
-        self.found(
-            key,
-            "choice",
-            format!("'{value}' is not one of {}", words.join(", ")),
-        );
-        default
-    }
-
-    /// Reports a finding at a key of this section.
-    pub fn found(&mut self, key: &str, rule: &'static str, message: String) {
-        let line = self
-            .section
-            .entry(key)
-            .map_or(self.section.line, |entry| entry.line);
-        self.report.push(Finding {
-            file: self.file.clone(),
-            line,
-            section: self.section.name.clone(),
-            key: Arc::from(key),
-            rule,
-            message,
-        });
-    }
-
-    /// Reports the keys that nobody asked for.
-    pub fn finish(mut self) {
-        let unknown: Vec<Arc<str>> = self
-            .section
-            .entries
-            .iter()
-            .filter(|entry| !self.known.contains(&&*entry.key))
-            .map(|entry| entry.key.clone())
-            .collect();
-        for key in unknown {
-            let known = self.known.join(", ");
-            self.found(
-                &key,
-                "unknown-key",
-                format!("unknown key; known are {known}"),
-            );
-        }
-    }
-
-    fn raw(&mut self, key: &'static str) -> Option<Arc<str>> {
-        self.known.push(key);
-        self.section.entry(key).map(|entry| entry.value.clone())
-    }
-
-    fn missing(&mut self, key: &'static str) {
-        self.found(key, "missing-key", "required key is missing".to_owned());
-    }
-
-    fn parsed<T>(&mut self, key: &'static str, value: &str) -> Option<T>
-    where
-        T: FromStr,
-        T::Err: Display,
-    {
-        match value.parse() {
-            Ok(parsed) => Some(parsed),
-            Err(error) => {
-                self.found(key, "value", format!("'{value}' cannot be read: {error}"));
-                None
-            }
+/// Reads bytes as UTF-8, or reports the line of the first byte that is not.
+pub fn decode<'a>(file: &str, bytes: &'a [u8], report: &mut Report) -> Option<&'a str> {
+    match std::str::from_utf8(bytes) {
+        Ok(text) => Some(text),
+        Err(error) => {
+            let before = bytes.get(..error.valid_up_to()).unwrap_or_default();
+            let line = before.iter().filter(|byte| **byte == b'\n').count() + 1;
+            report.push(Finding {
+                file: Arc::from(file),
+                line,
+                section: Arc::from(""),
+                key: Arc::from(""),
+                rule: "encoding",
+                message: "not UTF-8".to_owned(),
+            });
+            None
         }
     }
 }
--- /dev/null
+++ b/crates/basilbay_model/src/ini/reader.rs
@@ -0,0 +1,247 @@
+//! Typed values of one section.
+
+use std::fmt::Display;
+use std::num::{IntErrorKind, ParseIntError};
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Document, Section};
+use crate::finding::{Finding, Report};
+
+const ANSWERS: [(&str, bool); 2] = [("yes", true), ("no", false)];
+
+/// Reads typed values from one section and collects findings.
+pub struct Reader<'a> {
+    file: &'a Arc<str>,
+    section: &'a Section,
+    report: &'a mut Report,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Reader<'a> {
+    /// Starts to read a section.
+    pub fn new(document: &'a Document, section: &'a Section, report: &'a mut Report) -> Self {
+        Self {
+            file: &document.file,
+            section,
+            report,
+            known: Vec::new(),
+        }
+    }
+
+    /// Reads a required text.
+    pub fn text(&mut self, key: &'static str) -> Arc<str> {
+        match self.raw(key) {
+            Some(value) => value,
+            None => {
+                self.missing(key);
+                Arc::from("")
+            }
+        }
+    }
+
+    /// Reads an optional text.
+    pub fn optional_text(&mut self, key: &'static str) -> Option<Arc<str>> {
+        self.raw(key)
+    }
+
+    /// Reads words that stand between spaces; none where the key is absent.
+    pub fn words(&mut self, key: &'static str) -> Vec<Arc<str>> {
+        let text = self.raw(key).unwrap_or_else(|| Arc::from(""));
+        text.split_whitespace().map(Arc::from).collect()
+    }
+
+    /// Reads a required value, or reports and returns `None`.
+    pub fn required<T>(&mut self, key: &'static str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match self.raw(key) {
+            Some(value) => self.parsed(key, &value),
+            None => {
+                self.missing(key);
+                None
+            }
+        }
+    }
+
+    /// Reads a value that may be absent.
+    pub fn optional<T>(&mut self, key: &'static str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let value = self.raw(key)?;
+        self.parsed(key, &value)
+    }
+
+    /// Reads a value, or its default where the key is absent.
+    pub fn value<T>(&mut self, key: &'static str, default: T) -> T
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        self.optional(key).unwrap_or(default)
+    }
+
+    /// Reads a whole number within a range, or its default where the key is absent.
+    pub fn bounded<T>(&mut self, key: &'static str, default: T, range: RangeInclusive<T>) -> T
+    where
+        T: FromStr<Err = ParseIntError> + PartialOrd + Display,
+    {
+        let Some(value) = self.raw(key) else {
+            return default;
+        };
+        self.in_range(key, &value, &range).unwrap_or(default)
+    }
+
+    /// Reads a required whole number within a range.
+    pub fn required_bounded<T>(&mut self, key: &'static str, range: RangeInclusive<T>) -> Option<T>
+    where
+        T: FromStr<Err = ParseIntError> + PartialOrd + Display,
+    {
+        match self.raw(key) {
+            Some(value) => self.in_range(key, &value, &range),
+            None => {
+                self.missing(key);
+                None
+            }
+        }
+    }
+
+    /// Reads a duration in whole milliseconds.
+    pub fn millis(&mut self, key: &'static str, default: Duration) -> Duration {
+        self.millis_within(key, default, 0..=u64::MAX)
+    }
+
+    /// Reads a duration in whole milliseconds within a range of milliseconds.
+    pub fn millis_within(
+        &mut self,
+        key: &'static str,
+        default: Duration,
+        range: RangeInclusive<u64>,
+    ) -> Duration {
+        let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+        Duration::from_millis(self.bounded(key, default, range))
+    }
+
+    /// Reads one of a fixed list of words.
+    pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)], default: T) -> T {
+        let Some(value) = self.raw(key) else {
+            return default;
+        };
+        if let Some((_, choice)) = choices.iter().find(|(word, _)| *word == &*value) {
+            return *choice;
+        }
+        let words: Vec<&str> = choices.iter().map(|(word, _)| *word).collect();
+        let message = format!("'{value}' is not one of {}", words.join(", "));
+        self.found(key, "choice", message);
+        default
+    }
+
+    /// Reads `yes` or `no`.
+    pub fn answer(&mut self, key: &'static str, default: bool) -> bool {
+        self.choice(key, &ANSWERS, default)
+    }
+
+    /// Whether the section states a key.
+    pub fn has(&self, key: &str) -> bool {
+        self.section.entry(key).is_some()
+    }
+
+    /// Reports a finding at a key of this section.
+    pub fn found(&mut self, key: &str, rule: &'static str, message: String) {
+        let line = self
+            .section
+            .entry(key)
+            .map_or(self.section.line, |entry| entry.line);
+        self.report.push(Finding {
+            file: self.file.clone(),
+            line,
+            section: self.section.name.clone(),
+            key: Arc::from(key),
+            rule,
+            message,
+        });
+    }
+
+    /// Reports the keys that nobody asked for.
+    pub fn finish(self) {
+        for entry in &self.section.entries {
+            if self.known.contains(&&*entry.key) {
+                continue;
+            }
+            self.report.push(Finding {
+                file: self.file.clone(),
+                line: entry.line,
+                section: self.section.name.clone(),
+                key: entry.key.clone(),
+                rule: "unknown-key",
+                message: format!("unknown key; known are {}", self.known.join(", ")),
+            });
+        }
+    }
+
+    fn raw(&mut self, key: &'static str) -> Option<Arc<str>> {
+        self.known.push(key);
+        let value = self.section.entry(key)?.value.clone();
+        if value.is_empty() {
+            let message = "no value; remove the key to use the default".to_owned();
+            self.found(key, "empty-value", message);
+            return None;
+        }
+        Some(value)
+    }
+
+    fn missing(&mut self, key: &'static str) {
+        if self.has(key) {
+            return;
+        }
+        self.found(key, "missing-key", "required key is missing".to_owned());
+    }
+
+    fn parsed<T>(&mut self, key: &'static str, value: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match value.parse() {
+            Ok(parsed) => Some(parsed),
+            Err(error) => {
+                self.found(key, "value", format!("'{value}' cannot be read: {error}"));
+                None
+            }
+        }
+    }
+
+    fn in_range<T>(
+        &mut self,
+        key: &'static str,
+        value: &str,
+        range: &RangeInclusive<T>,
+    ) -> Option<T>
+    where
+        T: FromStr<Err = ParseIntError> + PartialOrd + Display,
+    {
+        let (start, end) = (range.start(), range.end());
+        match value.parse::<T>() {
+            Ok(number) if range.contains(&number) => return Some(number),
+            Err(error) if !is_overflow(&error) => {
+                let message = format!("'{value}' is not a whole number from {start} to {end}");
+                self.found(key, "value", message);
+            }
+            _ => self.found(key, "range", format!("{value} is not {start} to {end}")),
+        }
+        None
+    }
+}
+
+fn is_overflow(error: &ParseIntError) -> bool {
+    matches!(
+        error.kind(),
+        IntErrorKind::PosOverflow | IntErrorKind::NegOverflow
+    )
+}
