Add the operators' client

Operators had no way to check a file, compare two, or see what the fleet has in force. The client has check, diff, status, explain, wait and events; what they print is a pure function of data and held by golden files. The admin interface gains brief(), a status without peers, since the sum of all peer lists grows with the square of the fleet.

--- a/crates/basilbay_admin/src/lib.rs
+++ b/crates/basilbay_admin/src/lib.rs
@@ -108,6 +108,9 @@
 pub trait Admin {
     /// What the daemon reports about itself.
     async fn status() -> Status;
+    /// As `status`, but with no peers: a client that asks the whole fleet needs them once, and
+    /// the sum of all lists grows with the square of the fleet.
+    async fn brief() -> Status;
     /// Where a request of a service with a method and path would go.
     async fn explain(service: String, method: String, path: String) -> Explanation;
 }
--- /dev/null
+++ b/crates/basilbay_client/src/check.rs
@@ -0,0 +1,89 @@
+//! `basilbay check`: every finding of all files.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use basilbay_model::config::Config;
+
+use crate::output::{Code, Output};
+
+/// A file that was read, or could not be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Name of the file, as the operator gave it.
+    pub name: Arc<str>,
+    /// Its bytes, or why there are none.
+    pub bytes: std::result::Result<Vec<u8>, String>,
+}
+
+impl Source {
+    /// Reads a file.
+    pub fn read(path: &Path) -> Self {
+        Self {
+            name: Arc::from(path.display().to_string()),
+            bytes: std::fs::read(path).map_err(|error| error.to_string()),
+        }
+    }
+
+    /// Parses the file; findings and a file that cannot be read go to the output.
+    pub fn parse(&self, output: &mut Output) -> Option<Config> {
+        let bytes = match &self.bytes {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                output.error(&format!("basilbay: cannot read {}: {error}", self.name));
+                output.code = Code::Unreadable;
+                return None;
+            }
+        };
+        match Config::parse_bytes(&self.name, bytes) {
+            Ok(config) => Some(config),
+            Err(report) => {
+                for finding in &report.findings {
+                    output.line(&finding.to_string());
+                }
+                let count = report.findings.len();
+                output.line(&format!("{}: {}", self.name, counted(count, "finding")));
+                if output.code == Code::Good {
+                    output.code = Code::Bad;
+                }
+                None
+            }
+        }
+    }
+}
+
+/// Checks files.
+pub fn output(sources: &[Source]) -> Output {
+    let mut output = Output::default();
+    for source in sources {
+        if let Some(config) = source.parse(&mut output) {
+            output.line(&format!(
+                "{}: no findings; {}",
+                source.name,
+                summary(&config)
+            ));
+        }
+    }
+    output
+}
+
+fn summary(config: &Config) -> String {
+    let kinds = config
+        .services
+        .iter()
+        .map(|service| service.kinds.len())
+        .sum();
+    format!(
+        "version {}, {}, {}, {}",
+        config.version,
+        counted(config.domains.len(), "failure domain"),
+        counted(config.services.len(), "service"),
+        counted(kinds, "kind")
+    )
+}
+
+/// A number with a noun in the singular or plural.
+pub(crate) fn counted(count: usize, noun: &str) -> String {
+    let plural = if count == 1 { "" } else { "s" };
+    format!("{count} {noun}{plural}")
+}
--- /dev/null
+++ b/crates/basilbay_client/src/command.rs
@@ -0,0 +1,209 @@
+//! The command line.
+
+use std::net::SocketAddr;
+
+use clap::builder::ValueParser;
+use clap::{Arg, ArgAction, Command, value_parser};
+
+/// Environment variable with the address of the daemon to ask.
+pub const DAEMON_VARIABLE: &str = "BASILBAY_DAEMON";
+
+/// Deadline for the answers of all daemons, in milliseconds.
+pub const DEFAULT_DEADLINE_MS: &str = "2000";
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done, and the answer is good
+  1  done, and the answer is bad: findings, daemons that lag, no target, no such event
+  2  the command line or a file cannot be read
+  3  the daemon named by --daemon cannot be asked";
+
+/// Describes the whole command line.
+pub fn build() -> Command {
+    Command::new("basilbay")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Operators' client of the basilbay load balancer")
+        .long_about(
+            "Operators' client of the basilbay load balancer.\n\nIt checks and compares \
+             configuration files, and shows what the daemons have in force and do. No verb \
+             changes anything: a change is a new configuration file that the platform publishes.",
+        )
+        .after_help(format!(
+            "Examples of a change, such as taking a failure domain out:\n  \
+             basilbay check new.ini             # is the file right?\n  \
+             basilbay diff old.ini new.ini      # does it change what I mean, and only that?\n  \
+             ...                                # publish new.ini as the platform does\n  \
+             basilbay wait --version 8          # is it in force everywhere?\n  \
+             basilbay status                    # how is the fleet?\n\n{EXIT_CODES}"
+        ))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands([check(), diff(), status(), explain(), wait(), events()])
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Check configuration files and report every finding")
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .help("Configuration files")
+                .num_args(1..)
+                .required(true)
+                .value_parser(ValueParser::path_buf()),
+        )
+        .after_help(
+            "Examples:\n  basilbay check new.ini\n  basilbay check examples/*.ini\n\n\
+             Exit codes: 0 no findings; 1 findings; 2 a file cannot be read, with or without \
+             findings in others.\nThe rules are in docs/configuration.md.",
+        )
+}
+
+fn diff() -> Command {
+    Command::new("diff")
+        .about("Show what a new configuration changes, by section and key")
+        .arg(file("old", "Configuration file to compare with"))
+        .arg(file("new", "Configuration file that would be published"))
+        .arg(json())
+        .after_help(
+            "Comments, order and defaults that only one file states make no difference.\n\n\
+             Examples:\n  basilbay diff old.ini new.ini\n  basilbay diff --json old.ini new.ini\n\n\
+             Exit codes: 0 compared, with or without differences; 1 findings in a file; 2 a file \
+             cannot be read.",
+        )
+}
+
+fn status() -> Command {
+    Command::new("status")
+        .about("Show versions in force, states and load of the fleet")
+        .args([daemon(), deadline("Time for all daemons to answer")])
+        .arg(json())
+        .arg(
+            Arg::new("service")
+                .long("service")
+                .value_name("ID")
+                .help("Only targets of this service"),
+        )
+        .arg(
+            Arg::new("domain")
+                .long("domain")
+                .value_name("ID")
+                .help("Only instances in this failure domain"),
+        )
+        .after_help(
+            "Asks one daemon for its peers and then all of them at the same time. Daemons that do \
+             not answer are named.\n\n\
+             Examples:\n  basilbay status --daemon 10.0.0.7:7003\n  \
+             BASILBAY_DAEMON=10.0.0.7:7003 basilbay status --service paydesk\n  \
+             basilbay status --domain tt-north-2 --json\n\n\
+             Exit codes: 0 shown; 1 no daemon matches; 3 the daemon named cannot be asked.",
+        )
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Show which targets would get a request, and why")
+        .arg(
+            Arg::new("service")
+                .value_name("SERVICE")
+                .help("Service, as in the Host header")
+                .required(true),
+        )
+        .arg(
+            Arg::new("path")
+                .value_name("PATH")
+                .help("Path of the request")
+                .default_value("/"),
+        )
+        .arg(
+            Arg::new("method")
+                .long("method")
+                .value_name("M")
+                .help("Method of the request")
+                .default_value("GET"),
+        )
+        .args([daemon(), deadline("Time for the daemon to answer"), json()])
+        .after_help(
+            "The answer is that of one daemon; another one may have other figures.\n\n\
+             Examples:\n  basilbay explain fitfinder /fit\n  \
+             basilbay explain paydesk /payments --method POST --daemon 10.0.0.7:7003\n\n\
+             Exit codes: 0 there is a target; 1 the request would be refused; 3 the daemon cannot \
+             be asked.",
+        )
+}
+
+fn wait() -> Command {
+    Command::new("wait")
+        .about("Wait until a configuration version is in force on every daemon")
+        .arg(
+            Arg::new("version")
+                .long("version")
+                .value_name("N")
+                .help("Version to wait for; a newer one counts too")
+                .required(true)
+                .value_parser(value_parser!(u64).range(1..)),
+        )
+        .args([daemon(), deadline("Time to wait")])
+        .arg(
+            Arg::new("reachable-only")
+                .long("reachable-only")
+                .help("Do not count unreachable daemons as lagging")
+                .action(ArgAction::SetTrue),
+        )
+        .after_help(
+            "Names the daemons that lag or do not answer when the deadline passes.\n\n\
+             Examples:\n  basilbay wait --version 8 --deadline-ms 4000\n  \
+             basilbay wait --version 8 --reachable-only\n\n\
+             Exit codes: 0 in force everywhere; 1 daemons lag; 3 the daemon named cannot be asked.",
+        )
+}
+
+fn events() -> Command {
+    Command::new("events")
+        .about("Show the catalogue of numbered log events and what to do")
+        .arg(
+            Arg::new("number")
+                .value_name("NUMBER")
+                .help("Show one event in full")
+                .value_parser(value_parser!(u16)),
+        )
+        .arg(json())
+        .after_help(
+            "Examples:\n  basilbay events\n  basilbay events 201\n\n\
+             Exit codes: 0 shown; 1 no such event.",
+        )
+}
+
+fn file(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name(name.to_uppercase())
+        .help(help)
+        .required(true)
+        .value_parser(ValueParser::path_buf())
+}
+
+fn json() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .help("Print JSON")
+        .action(ArgAction::SetTrue)
+}
+
+fn daemon() -> Arg {
+    Arg::new("daemon")
+        .long("daemon")
+        .value_name("ADDR")
+        .help("Admin address of any daemon, as IP:PORT")
+        .env(DAEMON_VARIABLE)
+        .required(true)
+        .value_parser(value_parser!(SocketAddr))
+}
+
+fn deadline(help: &'static str) -> Arg {
+    Arg::new("deadline-ms")
+        .long("deadline-ms")
+        .value_name("MS")
+        .help(help)
+        .default_value(DEFAULT_DEADLINE_MS)
+        .value_parser(value_parser!(u64).range(1..=3_600_000))
+}
--- /dev/null
+++ b/crates/basilbay_client/src/explain.rs
@@ -0,0 +1,90 @@
+//! `basilbay explain`: which targets would get a request.
+
+use basilbay_admin::{Candidate, Explanation};
+use basilbay_model::domain::State;
+
+use crate::fleet::Request;
+use crate::output::{Code, Output};
+use crate::run::Result;
+use crate::table;
+
+const HEADER: [&str; 7] = [
+    "TARGET",
+    "DOMAIN",
+    "DOMAIN STATE",
+    "SHARE",
+    "LOAD",
+    "HEARD",
+    "REASON",
+];
+
+/// Columns with numbers.
+const NUMBERS: [usize; 3] = [3, 4, 5];
+
+/// Shows an explanation.
+pub fn output(explanation: &Explanation, request: &Request, json: bool) -> Result<Output> {
+    let mut output = Output::default();
+    if !has_target(explanation) {
+        output.code = Code::Bad;
+    }
+    if json {
+        output.line(&serde_json::to_string_pretty(explanation)?);
+        return Ok(output);
+    }
+    head(explanation, request, &mut output);
+    if !explanation.candidates.is_empty() {
+        let rows: Vec<Vec<String>> = explanation.candidates.iter().map(row).collect();
+        output.line("");
+        output.line(&table::format(&HEADER, &rows, &NUMBERS));
+    }
+    Ok(output)
+}
+
+fn has_target(explanation: &Explanation) -> bool {
+    let eligible = explanation
+        .candidates
+        .iter()
+        .any(|candidate| candidate.eligible);
+    explanation.refusal.is_none() && eligible
+}
+
+fn head(explanation: &Explanation, request: &Request, output: &mut Output) {
+    let kind = explanation.kind.as_deref().unwrap_or("none");
+    output.line(&format!(
+        "{} {} of service {}: kind {kind}, policy {}, as seen by {}",
+        request.method, request.path, explanation.service, explanation.policy, explanation.instance
+    ));
+    if let Some(refusal) = &explanation.refusal {
+        output.line(&format!("would be refused: {refusal}"));
+    } else if !has_target(explanation) {
+        output.line("would be refused: no target may be picked");
+    }
+}
+
+fn row(candidate: &Candidate) -> Vec<String> {
+    let state = match candidate.domain_state {
+        State::In => "in",
+        State::Out => "out",
+    };
+    let share = match candidate.eligible {
+        true => permille(candidate.share_permille),
+        false => "-".to_owned(),
+    };
+    let heard = match candidate.age_ms {
+        Some(age) => format!("{age} ms ago"),
+        None => "never".to_owned(),
+    };
+    vec![
+        candidate.instance.to_string(),
+        candidate.domain.to_string(),
+        state.to_owned(),
+        share,
+        format!("{}/{}", candidate.in_flight, candidate.limit),
+        heard,
+        candidate.reason.to_string(),
+    ]
+}
+
+fn permille(share: u32) -> String {
+    format!("{}.{}%", share / 10, share % 10)
+}
--- /dev/null
+++ b/crates/basilbay_client/src/fleet.rs
@@ -0,0 +1,178 @@
+//! Asking daemons.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use anyhow::{Context as _, anyhow, bail};
+use basilbay_admin::{AdminClient, Explanation, Peer, Status};
+use basilbay_model::id::InstanceId;
+use tarpc::serde_transport::tcp;
+use tarpc::tokio_serde::formats::Json;
+use tarpc::{client, context};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::timeout_at;
+
+use crate::run::Result;
+
+/// Daemons that are asked at the same time; below the usual limit of 1024 open files.
+const MAX_CONCURRENT: usize = 256;
+
+/// A daemon that did not answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unreachable {
+    /// The daemon, as its peer knows it.
+    pub peer: Peer,
+    /// Why there is no answer.
+    pub reason: Arc<str>,
+}
+
+/// What the daemons of a fleet answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// Address that was asked for the peers.
+    pub asked: SocketAddr,
+    /// Answers, sorted by instance.
+    pub answers: Vec<Status>,
+    /// Daemons without an answer, sorted by instance.
+    pub unreachable: Vec<Unreachable>,
+}
+
+/// A request to explain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Service, as in the `Host` header.
+    pub service: String,
+    /// Method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+}
+
+/// Asks one daemon for its peers and then all of them but the ones in `skip`, which is sorted.
+pub async fn ask(daemon: SocketAddr, deadline: Instant, skip: &[InstanceId]) -> Result<Fleet> {
+    let first = status(daemon, deadline, Call::Full)
+        .await
+        .with_context(|| format!("cannot ask the daemon at {daemon}"))?;
+    let peers: Vec<Peer> = first
+        .peers
+        .iter()
+        .filter(|peer| peer.instance != first.instance)
+        .filter(|peer| skip.binary_search(&peer.instance).is_err())
+        .cloned()
+        .collect();
+    let mut fleet = Fleet {
+        asked: daemon,
+        answers: vec![first],
+        unreachable: Vec::new(),
+    };
+    ask_peers(peers, deadline, &mut fleet).await?;
+    fleet
+        .answers
+        .sort_by(|left, right| left.instance.cmp(&right.instance));
+    fleet
+        .unreachable
+        .sort_by(|left, right| left.peer.instance.cmp(&right.peer.instance));
+    Ok(fleet)
+}
+
+async fn ask_peers(peers: Vec<Peer>, deadline: Instant, fleet: &mut Fleet) -> Result<()> {
+    let permits = Arc::new(Semaphore::new(MAX_CONCURRENT));
+    let mut tasks = JoinSet::new();
+    for peer in peers {
+        let permits = permits.clone();
+        tasks.spawn(async move {
+            let answer = ask_peer(&peer, &permits, deadline).await;
+            (peer, answer)
+        });
+    }
+    while let Some(joined) = tasks.join_next().await {
+        let (peer, answer) = joined?;
+        match answer {
+            Ok(status) => fleet.answers.push(status),
+            Err(error) => fleet.unreachable.push(Unreachable {
+                peer,
+                reason: Arc::from(format!("{error:#}")),
+            }),
+        }
+    }
+    Ok(())
+}
+
+async fn ask_peer(peer: &Peer, permits: &Semaphore, deadline: Instant) -> Result<Status> {
+    let _permit = timeout_at(deadline.into(), permits.acquire())
+        .await
+        .map_err(|_| late())??;
+    let status = status(peer.admin, deadline, Call::Brief).await?;
+    if status.instance != peer.instance {
+        bail!("the address belongs to {} now", status.instance);
+    }
+    Ok(status)
+}
+
+/// Asks a daemon where a request would go.
+pub async fn explain(
+    daemon: SocketAddr,
+    deadline: Instant,
+    request: &Request,
+) -> Result<Explanation> {
+    let call = async {
+        let client = connect(daemon).await?;
+        let Request {
+            service,
+            method,
+            path,
+        } = request.clone();
+        let explanation = client
+            .explain(context_until(deadline), service, method, path)
+            .await?;
+        Ok(explanation)
+    };
+    within(deadline, call)
+        .await
+        .with_context(|| format!("cannot ask the daemon at {daemon}"))
+}
+
+/// How much of the status is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Call {
+    /// With the peers.
+    Full,
+    /// Without the peers.
+    Brief,
+}
+
+async fn status(daemon: SocketAddr, deadline: Instant, call: Call) -> Result<Status> {
+    let asked = async {
+        let client = connect(daemon).await?;
+        let context = context_until(deadline);
+        let status = match call {
+            Call::Full => client.status(context).await?,
+            Call::Brief => client.brief(context).await?,
+        };
+        Ok(status)
+    };
+    within(deadline, asked).await
+}
+
+async fn connect(daemon: SocketAddr) -> Result<AdminClient> {
+    let transport = tcp::connect(daemon, Json::default).await?;
+    Ok(AdminClient::new(client::Config::default(), transport).spawn())
+}
+
+fn context_until(deadline: Instant) -> context::Context {
+    let mut context = context::current();
+    context.deadline = deadline;
+    context
+}
+
+async fn within<T>(deadline: Instant, call: impl Future<Output = Result<T>>) -> Result<T> {
+    timeout_at(deadline.into(), call)
+        .await
+        .map_err(|_| late())?
+}
+
+fn late() -> anyhow::Error {
+    anyhow!("no answer before the deadline")
+}
--- /dev/null
+++ b/crates/basilbay_client/tests/explain.rs
@@ -0,0 +1,51 @@
+//! `basilbay explain`.
+
+#[allow(dead_code)]
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, run, status, stdout};
+use insta::assert_snapshot;
+
+fn fleet() -> Fleet {
+    Fleet::start(vec![status("pay-1", "paydesk", "tt-north-1", 7)])
+}
+
+/// Guards against a request that is asked about with another method or path.
+#[test]
+fn with_target() {
+    let fleet = fleet();
+    let address = fleet.address().to_string();
+    let output = run(&[
+        "explain",
+        "paydesk",
+        "/payments",
+        "--method",
+        "POST",
+        "--daemon",
+        &address,
+    ]);
+    assert_snapshot!(stdout(&output));
+    assert_eq!(output.status.code(), Some(0));
+    let plain = stdout(&run(&["explain", "paydesk", "--daemon", &address]));
+    assert!(
+        plain.starts_with("GET / of service paydesk: kind none"),
+        "{plain}"
+    );
+}
+
+/// Guards against a refusal that a script takes for success.
+#[test]
+fn without_target() {
+    let fleet = fleet();
+    let address = fleet.address().to_string();
+    let output = run(&["explain", "paydesk", "/full", "--daemon", &address]);
+    assert_snapshot!(stdout(&output));
+    assert_eq!(output.status.code(), Some(1));
+    let json = run(&[
+        "explain", "paydesk", "/full", "--daemon", &address, "--json",
+    ]);
+    let value: serde_json::Value = serde_json::from_slice(&json.stdout).unwrap();
+    assert_eq!(value["refusal"], "no capacity");
+    assert_eq!(json.status.code(), Some(1));
+}
