--- a/crates/basilbay_client/src/command.rs
+++ b/crates/basilbay_client/src/command.rs
@@ -9,7 +9,10 @@
 pub const DAEMON_VARIABLE: &str = "BASILBAY_DAEMON";
 
 /// Deadline for the answers of all daemons, in milliseconds.
-pub const DEFAULT_DEADLINE_MS: &str = "2000";
+pub const ANSWER_DEADLINE_MS: &str = "2000";
+
+/// Deadline of `wait`, in milliseconds: the time in which an accepted version is in force.
+pub const WAIT_DEADLINE_MS: &str = "4000";
 
 const EXIT_CODES: &str = "\
 Exit codes:
@@ -76,7 +79,10 @@
 fn status() -> Command {
     Command::new("status")
         .about("Show versions in force, states and load of the fleet")
-        .args([daemon(), deadline("Time for all daemons to answer")])
+        .args([
+            daemon(),
+            deadline("Time for all daemons to answer", ANSWER_DEADLINE_MS),
+        ])
         .arg(json())
         .arg(
             Arg::new("service")
@@ -122,7 +128,11 @@
                 .help("Method of the request")
                 .default_value("GET"),
         )
-        .args([daemon(), deadline("Time for the daemon to answer"), json()])
+        .args([
+            daemon(),
+            deadline("Time for the daemon to answer", ANSWER_DEADLINE_MS),
+            json(),
+        ])
         .after_help(
             "The answer is that of one daemon; another one may have other figures.\n\n\
              Examples:\n  basilbay explain fitfinder /fit\n  \
@@ -143,7 +153,7 @@
                 .required(true)
                 .value_parser(value_parser!(u64).range(1..)),
         )
-        .args([daemon(), deadline("Time to wait")])
+        .args([daemon(), deadline("Time to wait", WAIT_DEADLINE_MS)])
         .arg(
             Arg::new("reachable-only")
                 .long("reachable-only")
@@ -152,8 +162,8 @@
         )
         .after_help(
             "Names the daemons that lag or do not answer when the deadline passes.\n\n\
-             Examples:\n  basilbay wait --version 8 --deadline-ms 4000\n  \
-             basilbay wait --version 8 --reachable-only\n\n\
+             Examples:\n  basilbay wait --version 8\n  \
+             basilbay wait --version 8 --deadline-ms 10000 --reachable-only\n\n\
              Exit codes: 0 in force everywhere; 1 daemons lag; 3 the daemon named cannot be asked.",
         )
 }
@@ -199,11 +209,11 @@
         .value_parser(value_parser!(SocketAddr))
 }
 
-fn deadline(help: &'static str) -> Arg {
+fn deadline(help: &'static str, default: &'static str) -> Arg {
     Arg::new("deadline-ms")
         .long("deadline-ms")
         .value_name("MS")
         .help(help)
-        .default_value(DEFAULT_DEADLINE_MS)
+        .default_value(default)
         .value_parser(value_parser!(u64).range(1..=3_600_000))
 }
