Add the gate in front of a target

The daemon beside a target needs one place that decides what the target is handed. Adds the pure crate basilbay_admission: gate, queue, adaptive limit, cold start ramp, measurement budget.

--- /dev/null
+++ b/crates/basilbay_admission/src/probe.rs
@@ -0,0 +1,115 @@
+//! Measuring the target: when its load endpoint may be asked, and what its report is worth.
+
+use std::time::{Duration, Instant};
+
+use basilbay_model::service::Contract;
+
+/// Shortest time between two probes, however cheap they are.
+const MIN_GAP: Duration = Duration::from_secs(1);
+
+/// Parts in the whole of a share in parts per thousand.
+const PERMILLE: u32 = 1000;
+
+/// How long a report is heeded; 3 probes at the shortest gap.
+const REPORT_LIFE: Duration = Duration::from_secs(3);
+
+/// Rounds of usual answers that outweigh a report.
+const OUTWEIGHING_ROUNDS: u32 = 2;
+
+/// When the next probe may be sent.
+///
+/// The first is due one gap after the start, so that at every moment the probes sent took at most
+/// the budgeted share of the time since then.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    permille: u32,
+    cost: Duration,
+    last: Instant,
+}
+
+impl Budget {
+    /// A budget that begins now.
+    pub fn new(contract: &Contract, now: Instant) -> Self {
+        Self {
+            permille: contract.probe_permille,
+            cost: contract.probe_cost,
+            last: now,
+        }
+    }
+
+    /// Takes another contract.
+    pub fn set_contract(&mut self, contract: &Contract) {
+        self.permille = contract.probe_permille;
+        self.cost = contract.probe_cost;
+    }
+
+    /// When the next probe may be sent; never with a share of 0.
+    pub fn due(&self) -> Option<Instant> {
+        if self.permille == 0 {
+            return None;
+        }
+        let gap = self.cost.saturating_mul(PERMILLE) / self.permille;
+        self.last.checked_add(gap.max(MIN_GAP))
+    }
+
+    /// Whether a probe may be sent now; true counts it as sent.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let due = self.due().is_some_and(|due| due <= now);
+        if due {
+            self.last = now;
+        }
+        due
+    }
+}
+
+/// What the target's load endpoint said.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Requests that it says it runs.
+    pub in_flight: u32,
+    /// Requests that it says it can run; 0 when it does not say.
+    pub capacity: u32,
+    /// Whether it says that it takes work.
+    pub ready: bool,
+}
+
+/// A lower limit while a report contradicts the gate's own knowledge.
+///
+/// Load endpoints lag and mislead, so a report halves the limit at most, never raises it, loses its
+/// force with time and is outweighed by answers at the usual speed.
+#[derive(Clone, Copy, Debug)]
+pub struct Doubt {
+    /// Requests that may run.
+    pub allowed: u32,
+    /// When the report is forgotten.
+    pub until: Instant,
+    answers: u32,
+}
+
+impl Doubt {
+    /// Holds a report against the gate's own limit and the most requests that ran since the last
+    /// report; none when it gives no reason for doubt.
+    pub fn new(report: Report, own_limit: u32, own_peak: u32, now: Instant) -> Option<Self> {
+        let half = own_limit.div_ceil(2).max(1);
+        let foreign = report.in_flight.saturating_sub(own_peak);
+        let mut allowed = own_limit.saturating_sub(foreign);
+        if report.capacity > 0 {
+            allowed = allowed.min(report.capacity);
+        }
+        if !report.ready {
+            allowed = half;
+        }
+        let allowed = allowed.max(half);
+        (allowed < own_limit).then(|| Self {
+            allowed,
+            until: now + REPORT_LIFE,
+            answers: allowed.saturating_mul(OUTWEIGHING_ROUNDS),
+        })
+    }
+
+    /// Counts an answer at the usual speed; true when enough of them outweigh the report.
+    pub fn is_outweighed(&mut self) -> bool {
+        self.answers = self.answers.saturating_sub(1);
+        self.answers == 0
+    }
+}
--- /dev/null
+++ b/crates/basilbay_admission/src/queue.rs
@@ -0,0 +1,195 @@
+//! Requests that wait for a slot.
+//!
+//! A calm queue is served in the order of arrival. One that has not been empty for as long as its
+//! requests are meant to wait is overloaded: then the heaviest kind comes first and of each kind the
+//! newest, which has the most time left, and requests that waited too long are refused while their
+//! caller can still try another target.
+
+use std::time::{Duration, Instant};
+
+use basilbay_wire::problem::Cause;
+
+use crate::request::{RequestId, Ticket};
+
+/// Shortest wait that counts as too long; below it a queue is a burst.
+const MIN_PATIENCE: Duration = Duration::from_millis(100);
+
+/// Service times that a request may wait under overload. At least one slot is freed in each, so the
+/// queue does not run dry while requests arrive faster than they are served.
+const PATIENCE_SERVICES: u32 = 2;
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    /// When it has waited too long, if the queue is overloaded then.
+    stale_at: Instant,
+}
+
+/// Waiting requests, in the order of arrival.
+#[derive(Clone, Debug)]
+pub struct Queue {
+    bound: usize,
+    waiting: Vec<Waiting>,
+    /// When the queue counts as overloaded, unless it empties before.
+    overload_at: Option<Instant>,
+}
+
+impl Queue {
+    /// An empty queue for at most `bound` requests.
+    pub fn new(bound: u32) -> Self {
+        Self {
+            bound: bound as usize,
+            waiting: Vec::new(),
+            overload_at: None,
+        }
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Whether there is no room for one more.
+    pub fn is_full(&self) -> bool {
+        self.waiting.len() >= self.bound
+    }
+
+    /// Sets the bound; [`Queue::shed_lightest`] brings the queue down to a lower one.
+    pub fn set_bound(&mut self, bound: u32) {
+        self.bound = bound as usize;
+    }
+
+    /// Whether more requests wait than the bound allows.
+    pub fn is_over(&self) -> bool {
+        self.waiting.len() > self.bound
+    }
+
+    /// Whether a request waits.
+    pub fn contains(&self, id: RequestId) -> bool {
+        self.waiting.iter().any(|waiting| waiting.ticket.id == id)
+    }
+
+    /// Adds a request at the end.
+    pub fn push(&mut self, ticket: Ticket, service: Duration, now: Instant) {
+        let patience = service.saturating_mul(PATIENCE_SERVICES).max(MIN_PATIENCE);
+        let stale_at = now.checked_add(patience).unwrap_or(ticket.deadline);
+        self.overload_at.get_or_insert(stale_at);
+        self.waiting.push(Waiting { ticket, stale_at });
+    }
+
+    /// Takes the request that is to run next, passing over suspects if asked to.
+    pub fn pop(&mut self, skip_suspects: bool, now: Instant) -> Option<Ticket> {
+        let eligible = |waiting: &&Waiting| !(skip_suspects && waiting.ticket.suspect);
+        let index = if self.is_overloaded(now) {
+            let candidates = self.waiting.iter().enumerate();
+            candidates
+                .filter(|(_, waiting)| eligible(waiting))
+                .max_by_key(|(_, waiting)| waiting.ticket.weight)?
+                .0
+        } else {
+            self.waiting.iter().position(|waiting| eligible(&waiting))?
+        };
+        Some(self.remove_at(index))
+    }
+
+    /// Removes a request that its caller gave up; whether it waited.
+    pub fn remove(&mut self, id: RequestId) -> bool {
+        let index = self
+            .waiting
+            .iter()
+            .position(|waiting| waiting.ticket.id == id);
+        if let Some(index) = index {
+            self.remove_at(index);
+        }
+        index.is_some()
+    }
+
+    /// Removes the lightest request, if it is lighter than `weight`: of several the oldest under
+    /// overload, the newest otherwise, in reverse of the order in which they would run.
+    pub fn shed_lightest(&mut self, weight: Option<u32>, now: Instant) -> Option<RequestId> {
+        let lightest = self.waiting.iter().map(|waiting| waiting.ticket.weight);
+        let lightest = lightest.min()?;
+        if weight.is_some_and(|weight| lightest >= weight) {
+            return None;
+        }
+        let is_lightest = |waiting: &Waiting| waiting.ticket.weight == lightest;
+        let index = if self.is_overloaded(now) {
+            self.waiting.iter().position(is_lightest)?
+        } else {
+            self.waiting.iter().rposition(is_lightest)?
+        };
+        Some(self.remove_at(index).id)
+    }
+
+    /// Removes the requests that can no longer finish or have waited too long.
+    pub fn expire(
+        &mut self,
+        service: Duration,
+        now: Instant,
+        mut refuse: impl FnMut(RequestId, Cause),
+    ) {
+        let overloaded = self.is_overloaded(now);
+        self.waiting.retain(|waiting| {
+            let cause = if last_start(&waiting.ticket, service) <= now {
+                Cause::DeadlinePassed
+            } else if overloaded && waiting.stale_at <= now {
+                Cause::NoCapacity
+            } else {
+                return true;
+            };
+            refuse(waiting.ticket.id, cause);
+            false
+        });
+        self.note_empty();
+    }
+
+    /// Removes all requests.
+    pub fn clear(&mut self, mut refuse: impl FnMut(RequestId)) {
+        for waiting in self.waiting.drain(..) {
+            refuse(waiting.ticket.id);
+        }
+        self.overload_at = None;
+    }
+
+    /// When [`Queue::expire`] next has something to remove.
+    pub fn next_deadline(&self, service: Duration) -> Option<Instant> {
+        let overload_at = self.overload_at?;
+        self.waiting
+            .iter()
+            .map(|waiting| {
+                let stale_at = waiting.stale_at.max(overload_at);
+                last_start(&waiting.ticket, service).min(stale_at)
+            })
+            .min()
+    }
+
+    /// Whether the queue is served newest first.
+    pub fn is_overloaded(&self, now: Instant) -> bool {
+        self.overload_at.is_some_and(|at| at <= now)
+    }
+
+    fn remove_at(&mut self, index: usize) -> Ticket {
+        let ticket = self.waiting.remove(index).ticket;
+        self.note_empty();
+        ticket
+    }
+
+    fn note_empty(&mut self) {
+        if self.waiting.is_empty() {
+            self.overload_at = None;
+        }
+    }
+}
+
+/// The last moment at which a request can start and still finish in time.
+pub fn last_start(ticket: &Ticket, service: Duration) -> Instant {
+    ticket
+        .deadline
+        .checked_sub(service)
+        .unwrap_or(ticket.deadline)
+}
--- /dev/null
+++ b/crates/basilbay_admission/src/ramp.rs
@@ -0,0 +1,203 @@
+//! Cold start: a cold target is handed little and, with each answer, a little more.
+//!
+//! The ramp counts answers and not time, since a target warms by working: one that is given
+//! nothing stays cold however long it waits. Only answers of requests that were started on the
+//! ramp count.
+
+use std::time::Duration;
+
+use basilbay_model::service::Contract;
+
+use crate::profile::Profile;
+use crate::request::Order;
+
+/// Consecutive answers far above the profile that put a warm target back on the ramp.
+const FAR_ANSWERS: u32 = 4;
+
+/// What an answer at the usual warm time counts for on a ramp that slow answers began. A target
+/// that answers as quickly as ever has paused and is not cold.
+const NORMAL_CREDIT: u32 = 8;
+
+/// Requests at the bottom of the ramp beside a target that may still run unknown earlier work.
+const RESTART_SLOTS: u32 = 1;
+
+/// What put the target on the ramp.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// It starts, or its connections broke.
+    Cold,
+    /// The daemon restarted and does not know what the target runs.
+    Restart,
+    /// It answered far slower than its warm profile.
+    Slow,
+}
+
+#[derive(Clone, Debug)]
+struct Climb {
+    origin: Origin,
+    /// Starts below it happened before the climb and do not count.
+    first: Order,
+    progress: u32,
+    late_total: f64,
+    late_count: u32,
+}
+
+/// The ramp of one target.
+#[derive(Clone, Debug)]
+pub struct Ramp {
+    slots: u32,
+    cold_slots: u32,
+    warm_after: u32,
+    climb: Option<Climb>,
+    far: u32,
+}
+
+impl Ramp {
+    /// The ramp of a target that starts cold or is found running.
+    pub fn new(contract: &Contract, origin: Origin) -> Self {
+        let mut ramp = Self {
+            slots: 1,
+            cold_slots: 1,
+            warm_after: 0,
+            climb: None,
+            far: 0,
+        };
+        ramp.climb = Some(Climb::new(origin, 0));
+        ramp.set_contract(contract);
+        ramp
+    }
+
+    /// Whether the target counts as cold.
+    pub fn is_cold(&self) -> bool {
+        self.climb.is_some()
+    }
+
+    /// Requests that may run.
+    pub fn allowed(&self) -> u32 {
+        let Some(climb) = &self.climb else {
+            return self.slots;
+        };
+        let bottom = self.bottom(climb.origin);
+        let length = u128::from(self.length(climb.origin).max(1));
+        let progress = u128::from(climb.progress).min(length);
+        // The square keeps the ramp below that of a target that warms evenly with its answers.
+        let share = u128::from(self.slots - bottom) * progress * progress / (length * length);
+        bottom + share as u32
+    }
+
+    /// Takes another contract; a warm target stays warm.
+    pub fn set_contract(&mut self, contract: &Contract) {
+        self.slots = contract.slots.max(1);
+        self.cold_slots = contract.cold_slots.clamp(1, self.slots);
+        self.warm_after = contract.warm_after;
+        self.leave_when_done();
+    }
+
+    /// Takes an answer; true when it put the target back on the ramp.
+    pub fn answered(
+        &mut self,
+        order: Order,
+        service: Duration,
+        profile: &mut Profile,
+        next: Order,
+    ) -> bool {
+        if self.climb.is_some() {
+            self.advance(order, service, profile);
+            return false;
+        }
+        if !profile.is_far_above(service) {
+            self.far = 0;
+            profile.note_warm(service);
+            return false;
+        }
+        self.far += 1;
+        if self.far < FAR_ANSWERS {
+            return false;
+        }
+        self.fall(Origin::Slow, next);
+        true
+    }
+
+    /// Takes a broken or refused connection; true when it put the target back to the bottom.
+    pub fn reset(&mut self, order: Order, next: Order) -> bool {
+        let known = self.climb.as_ref().is_some_and(|climb| order < climb.first);
+        if known {
+            return false;
+        }
+        self.fall(Origin::Cold, next);
+        true
+    }
+
+    fn advance(&mut self, order: Order, service: Duration, profile: &mut Profile) {
+        let Some(climb) = &mut self.climb else {
+            return;
+        };
+        if order < climb.first {
+            return;
+        }
+        let normal = climb.origin == Origin::Slow && profile.is_normal(service);
+        let credit = if normal { NORMAL_CREDIT } else { 1 };
+        climb.progress = climb.progress.saturating_add(credit);
+        if climb.progress >= self.warm_after / 2 {
+            climb.late_total += service.as_secs_f64();
+            climb.late_count += 1;
+        }
+        let late = climb.late_total / f64::from(climb.late_count.max(1));
+        let known = profile.mean().is_some();
+        // A target that is warm by its contract and still slower than before has a new profile;
+        // with the old one it would go back on the ramp for ever.
+        if self.leave_when_done() && known {
+            profile.raise(late);
+        }
+    }
+
+    fn leave_when_done(&mut self) -> bool {
+        let done = self
+            .climb
+            .as_ref()
+            .is_some_and(|climb| climb.progress >= self.length(climb.origin));
+        if done {
+            self.climb = None;
+            self.far = 0;
+        }
+        done
+    }
+
+    fn fall(&mut self, origin: Origin, next: Order) {
+        let restart = self
+            .climb
+            .as_ref()
+            .is_some_and(|climb| climb.origin == Origin::Restart);
+        let origin = if restart { Origin::Restart } else { origin };
+        self.climb = Some(Climb::new(origin, next));
+        self.far = 0;
+        self.leave_when_done();
+    }
+
+    fn bottom(&self, origin: Origin) -> u32 {
+        match origin {
+            Origin::Restart => RESTART_SLOTS,
+            Origin::Cold | Origin::Slow => self.cold_slots,
+        }
+    }
+
+    fn length(&self, origin: Origin) -> u32 {
+        match origin {
+            // A contract without a cold start still has earlier work to finish.
+            Origin::Restart => self.warm_after.max(self.slots),
+            Origin::Cold | Origin::Slow => self.warm_after,
+        }
+    }
+}
+
+impl Climb {
+    fn new(origin: Origin, first: Order) -> Self {
+        Self {
+            origin,
+            first,
+            progress: 0,
+            late_total: 0.0,
+            late_count: 0,
+        }
+    }
+}
