Test admission and make the limit tell crowding from other slowness

A first limit let the warm profile creep up under load, so requests on a target with few cores crowded each other again after seconds, and it probed a shedding target too often. The profile now rises only while the limit is not in full use, two cuts are judged by their throughput, and growth begins with a quarter of a slot.

--- a/crates/basilbay_admission/src/limit.rs
+++ b/crates/basilbay_admission/src/limit.rs
@@ -26,16 +26,26 @@
 /// A window is slow when its mean exceeds the warm mean by this factor.
 const TOLERANCE: f64 = 2.0;
 
-/// Margin over the tolerance when a slower profile is accepted.
-const RAISE_MARGIN: f64 = 1.1;
+/// Margin over the tolerance when a slower profile is accepted: 4 deviations of a window of
+/// exponential times. At 1.25 noise alone began a new trial every few windows.
+const RAISE_MARGIN: f64 = 1.5;
 
 /// Largest cut for one slow window; one noisy window costs a quarter at most.
 const SLOW_CUT: f64 = 0.75;
 
-/// Share of the throughput that a cut must keep to count as helpful.
-const KEPT_THROUGHPUT: f64 = 0.9;
+/// Windows are longer by this factor while a cut is on trial, since a wrong verdict is costly.
+const TRIAL_FACTOR: u32 = 2;
 
-/// Cut when a quarter of the completions are shed.
+/// A cut is judged once the limit is below this share of the one before. With two full cuts
+/// (0.56) the throughput differs enough from an unchanged one to tell them apart through noise,
+/// and a cut that turns out to be wrong has not halved the limit.
+const TRIAL_DEPTH: f64 = 0.7;
+
+/// Share of the throughput that a cut must keep to count as helpful: half way between the
+/// unchanged one and the one that falls with the limit.
+const KEPT_THROUGHPUT: f64 = 0.78;
+
+/// Cut when a quarter of the completions are shed, and were in the window before.
 const SHED_CUT: f64 = 0.7;
 
 /// Fewest shed requests for that cut; one or two errors are no sign of overload.
@@ -50,6 +60,16 @@
 /// Completions for each shed request above which a window passes as free of shedding.
 const MILD_PARTS: u32 = 10;
 
+/// First step of growth after a cut, in slots a window: the limit stays below the harmful one for
+/// a few windows before it tries again.
+const FIRST_STEP: f64 = 0.25;
+
+/// First step of growth after a cut for slowness, which harms less than shedding and is noisier.
+const SLOW_STEP: f64 = 1.0;
+
+/// Factor from one step of growth to the next, up to the square root of the limit.
+const STEP_FACTOR: f64 = 1.5;
+
 /// A completed request, as the limit sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
@@ -94,8 +114,10 @@
 pub struct Limit {
     slots: u32,
     value: f64,
-    /// Below it the limit grows by its square root a window, above it by 1.
-    threshold: f64,
+    /// By how much the next good window lets it grow.
+    step: f64,
+    /// Whether a good window followed the last cut.
+    proven: bool,
     /// Starts below it happened before the last cut and are not judged.
     first: Order,
     window: Window,
@@ -109,7 +131,8 @@
         Self {
             slots: slots.max(1),
             value,
-            threshold: value,
+            step: value.sqrt(),
+            proven: true,
             first: 0,
             window: Window::default(),
             trial: None,
@@ -128,8 +151,7 @@
             return;
         }
         self.slots = slots.max(1);
-        self.threshold = f64::from(self.slots);
-        self.value = self.value.min(self.threshold);
+        self.value = self.value.min(f64::from(self.slots));
         self.trial = None;
     }
 
@@ -160,7 +182,7 @@
         self.window.shed += 1;
         let many = self.window.shed >= SHED_MIN;
         if many && self.window.shed * SHED_PARTS >= self.window.seen {
-            self.cut(SHED_CUT, sample);
+            self.shed(sample);
             return;
         }
         self.close_when_due(sample, profile);
@@ -177,7 +199,11 @@
 
     fn close_when_due(&mut self, sample: Sample, profile: &mut Profile) {
         let rounds = self.allowed().saturating_mul(WINDOW_ROUNDS);
-        if self.window.seen < rounds.clamp(WINDOW_MIN, WINDOW_MAX) {
+        let mut length = rounds.clamp(WINDOW_MIN, WINDOW_MAX);
+        if self.trial.is_some() {
+            length *= TRIAL_FACTOR;
+        }
+        if self.window.seen < length {
             return;
         }
         let window = mem::take(&mut self.window);
@@ -198,7 +224,7 @@
             return;
         }
         self.trial = None;
-        profile.settle(mean);
+        profile.settle(mean, window.is_full());
         if mean <= tolerated {
             self.grow(window);
         }
@@ -206,7 +232,8 @@
 
     fn slow(&mut self, mean: f64, tolerated: f64, sample: Sample, profile: &mut Profile) {
         let limit = f64::from(sample.allowed.min(self.allowed()));
-        if let Some(trial) = self.trial.take() {
+        let trial = self.trial.unwrap_or(Trial { limit, mean });
+        if limit < trial.limit * TRIAL_DEPTH {
             let kept = (limit / mean) / (trial.limit / trial.mean);
             if kept < KEPT_THROUGHPUT {
                 self.take_back(trial, sample, profile);
@@ -218,7 +245,8 @@
             return;
         }
         self.cut((tolerated / mean).max(SLOW_CUT), sample);
-        self.trial = Some(Trial { limit, mean });
+        self.step = SLOW_STEP;
+        self.trial = Some(trial);
     }
 
     fn take_back(&mut self, trial: Trial, sample: Sample, profile: &mut Profile) {
@@ -227,27 +255,32 @@
         self.restart_window(sample.next);
     }
 
-    fn cut(&mut self, factor: f64, sample: Sample) {
-        // Only as many ran as all limits together allowed, so that is what proved too much.
-        self.value = self.value.min(f64::from(sample.allowed));
-        self.threshold = if self.value >= self.threshold {
-            self.value * MILD_CUT
+    fn shed(&mut self, sample: Sample) {
+        // The others that run were not shed, so after good windows one less is enough.
+        let floor = if self.proven {
+            f64::from(sample.running.saturating_sub(1))
         } else {
-            (self.threshold + self.value) / 2.0
+            0.0
         };
-        self.value = (self.value * factor).max(1.0);
+        self.cut(SHED_CUT, sample);
+        self.value = self.value.max(floor);
+    }
+
+    fn cut(&mut self, factor: f64, sample: Sample) {
+        // Only as many ran as all limits together allowed, so that is what proved too much.
+        let proved = self.value.min(f64::from(sample.allowed));
+        self.value = (proved * factor).max(1.0);
+        self.step = FIRST_STEP;
+        self.proven = false;
         self.restart_window(sample.next);
     }
 
     fn grow(&mut self, window: &Window) {
+        self.proven = true;
         if !window.is_full() {
             return;
         }
-        let step = if self.value < self.threshold {
-            self.value.sqrt()
-        } else {
-            1.0
-        };
-        self.value = (self.value + step).min(f64::from(self.slots));
+        self.value = (self.value + self.step).min(f64::from(self.slots));
+        self.step = (self.step * STEP_FACTOR).min(self.value.sqrt());
     }
 }
--- a/crates/basilbay_admission/src/profile.rs
+++ b/crates/basilbay_admission/src/profile.rs
@@ -72,15 +72,15 @@
         self.high *= 1.0 + HIGH_STEP * direction;
     }
 
-    /// Takes the mean of a window of answers of a warm target.
-    pub fn settle(&mut self, window: f64) {
+    /// Takes the mean of a window of answers of a warm target. While the limit was `full`, only
+    /// a lower one: a higher one may come from the concurrency that the limit is to judge.
+    pub fn settle(&mut self, window: f64, full: bool) {
         let mean = self.mean.get_or_insert(window);
-        let share = if window < *mean {
-            FALL_SHARE
-        } else {
-            RISE_SHARE
-        };
-        *mean += (window - *mean) * share;
+        if window < *mean {
+            *mean += (window - *mean) * FALL_SHARE;
+        } else if !full {
+            *mean += (window - *mean) * RISE_SHARE;
+        }
     }
 
     /// Raises the warm mean at once: the longer times are found not to come from concurrency.
--- a/crates/basilbay_admission/src/ramp.rs
+++ b/crates/basilbay_admission/src/ramp.rs
@@ -50,6 +50,8 @@
     warm_after: u32,
     climb: Option<Climb>,
     far: u32,
+    /// Starts below it happened before the last broken connection that put the target back.
+    alive_since: Order,
 }
 
 impl Ramp {
@@ -61,6 +63,7 @@
             warm_after: 0,
             climb: None,
             far: 0,
+            alive_since: 0,
         };
         ramp.climb = Some(Climb::new(origin, 0));
         ramp.set_contract(contract);
@@ -118,12 +121,13 @@
         true
     }
 
-    /// Takes a broken or refused connection; true when it put the target back to the bottom.
+    /// Takes a broken or refused connection; true when it put the target back to the bottom. The
+    /// requests that ran on a process that died break one after the other and count once.
     pub fn reset(&mut self, order: Order, next: Order) -> bool {
-        let known = self.climb.as_ref().is_some_and(|climb| order < climb.first);
-        if known {
+        if order < self.alive_since {
             return false;
         }
+        self.alive_since = next;
         self.fall(Origin::Cold, next);
         true
     }
--- /dev/null
+++ b/crates/basilbay_admission/tests/gate.rs
@@ -0,0 +1,382 @@
+//! The gate hands out slots: never more than any limit allows, each request exactly one outcome.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use basilbay_admission::gate::{Action, Closed, Completion, Decision, Gate, Place, Start};
+use basilbay_admission::probe::Report;
+use basilbay_admission::request::Ticket;
+use basilbay_model::service::Contract;
+use basilbay_wire::load::State;
+use basilbay_wire::problem::Cause;
+use proptest::prelude::*;
+
+fn contract(slots: u32, queue: u32, cold_slots: u32, warm_after: u32) -> Contract {
+    Contract {
+        slots,
+        queue,
+        cold_slots,
+        warm_after,
+        ..Contract::default()
+    }
+}
+
+fn ticket(id: u64, now: Instant) -> Ticket {
+    Ticket {
+        id,
+        weight: 1,
+        deadline: now + Duration::from_secs(1),
+        suspect: false,
+    }
+}
+
+fn suspect(id: u64, now: Instant) -> Ticket {
+    Ticket {
+        suspect: true,
+        ..ticket(id, now)
+    }
+}
+
+fn actions(gate: &mut Gate) -> Vec<Action> {
+    gate.drain_actions().collect()
+}
+
+/// Guards against a full gate that runs a request, or a freed slot that stays empty.
+#[test]
+fn slots_counted() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(2, 1, 2, 0), Start::Fresh, now);
+    assert_eq!(gate.offer(ticket(1, now), now), Decision::Run);
+    assert_eq!(gate.offer(ticket(2, now), now), Decision::Run);
+    assert_eq!(gate.offer(ticket(3, now), now), Decision::Wait);
+    let refused = gate.offer(ticket(4, now), now);
+    assert_eq!(refused, Decision::Refuse(Cause::NoCapacity));
+    gate.complete(1, Completion::Answered, now);
+    assert_eq!(actions(&mut gate), [Action::Start(3)]);
+    assert_eq!(gate.running(), 2);
+}
+
+/// Guards against a cancelled request that frees its slot while the target still works on it.
+#[test]
+fn cancelled_keeps_slot() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(1, 2, 1, 0), Start::Fresh, now);
+    gate.offer(ticket(1, now), now);
+    gate.offer(ticket(2, now), now);
+    gate.offer(ticket(3, now), now);
+    assert_eq!(gate.cancel(1, now), Some(Place::Running));
+    assert_eq!(gate.cancel(2, now), Some(Place::Waiting));
+    assert_eq!(gate.cancel(9, now), None);
+    assert_eq!(actions(&mut gate), []);
+    gate.complete(1, Completion::Cancelled, now);
+    assert_eq!(actions(&mut gate), [Action::Start(3)]);
+}
+
+/// Guards against two suspects that run together, and a suspect that holds up others.
+#[test]
+fn suspects_alone() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(3, 3, 3, 0), Start::Fresh, now);
+    assert_eq!(gate.offer(suspect(1, now), now), Decision::Run);
+    assert_eq!(gate.offer(suspect(2, now), now), Decision::Wait);
+    assert_eq!(gate.offer(ticket(3, now), now), Decision::Run);
+    gate.complete(1, Completion::Answered, now);
+    assert_eq!(actions(&mut gate), [Action::Start(2)]);
+}
+
+/// Guards against a reason that clears another one, and against the wrong cause.
+#[test]
+fn reasons_separate() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(1, 1, 1, 0), Start::Fresh, now);
+    gate.offer(ticket(1, now), now);
+    gate.offer(ticket(2, now), now);
+    gate.set_state(Closed::Out, true);
+    let refused = Action::Refuse(2, Cause::ServiceOut);
+    assert_eq!(actions(&mut gate), [refused]);
+    gate.set_state(Closed::Leaving, true);
+    gate.set_state(Closed::Out, false);
+    assert_eq!(gate.load().state, State::Leaving);
+    let refused = gate.offer(ticket(3, now), now);
+    assert_eq!(refused, Decision::Refuse(Cause::Leaving));
+    gate.set_state(Closed::Leaving, false);
+    assert_eq!(gate.running(), 1);
+    assert_eq!(gate.offer(ticket(4, now), now), Decision::Wait);
+    for (reason, cause) in [
+        (Closed::Unconfirmed, Cause::Unconfirmed),
+        (Closed::Down, Cause::NoCapacity),
+    ] {
+        gate.set_state(reason, true);
+        let refused = gate.offer(ticket(5, now), now);
+        assert_eq!(refused, Decision::Refuse(cause));
+        gate.set_state(reason, false);
+    }
+}
+
+/// Guards against load figures that a receiver cannot put in order.
+#[test]
+fn load_fresh() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(4, 2, 2, 10), Start::Fresh, now);
+    gate.offer(ticket(1, now), now);
+    let first = gate.load();
+    gate.complete(1, Completion::Answered, now + Duration::from_millis(3));
+    let second = gate.load();
+    assert!(second.sequence > first.sequence);
+    assert_eq!((first.in_flight, first.limit), (1, 2));
+    assert_eq!((second.in_flight, second.latency_us), (0, 3000));
+    assert_eq!(second.state, State::Cold);
+    assert!(gate.is_idle());
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer(u32, u64, bool),
+    Complete(usize, Completion),
+    Cancel(usize),
+    Tick(u64),
+    Close(Closed, bool),
+    Replace(Contract),
+    Report(u32, u32, bool),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let result = prop_oneof![
+        6 => Just(Completion::Answered),
+        2 => Just(Completion::Failed),
+        1 => Just(Completion::Reset),
+        1 => Just(Completion::Cancelled),
+    ];
+    let reason = prop::sample::select(Closed::ALL.to_vec());
+    let replacement = (1u32..12, 0u32..6, 1u32..12, 0u32..30)
+        .prop_map(|(slots, queue, cold, after)| contract(slots, queue, cold.min(slots), after));
+    prop_oneof![
+        12 => (0u32..4, 0u64..400, prop::bool::weighted(0.2))
+            .prop_map(|(weight, left, suspect)| Step::Offer(weight, left, suspect)),
+        10 => (any::<usize>(), result).prop_map(|(index, result)| Step::Complete(index, result)),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        4 => (0u64..120).prop_map(Step::Tick),
+        1 => (reason, prop::bool::weighted(0.3)).prop_map(|(reason, on)| Step::Close(reason, on)),
+        1 => replacement.prop_map(Step::Replace),
+        1 => (0u32..20, 0u32..20, any::<bool>())
+            .prop_map(|(inside, capacity, ready)| Step::Report(inside, capacity, ready)),
+    ]
+}
+
+/// What the test knows of the gate from its inputs and outputs alone.
+struct Model {
+    gate: Gate,
+    now: Instant,
+    contract: Contract,
+    next: u64,
+    waiting: BTreeMap<u64, Ticket>,
+    running: BTreeMap<u64, Ticket>,
+    /// Ids started since the last crash; earlier ones say nothing about the process that runs now.
+    started_since: Vec<u64>,
+    answers: u32,
+    cold: bool,
+    restarted: bool,
+    closed: Vec<Closed>,
+}
+
+impl Model {
+    fn new(contract: Contract, start: Start) -> Self {
+        let now = Instant::now();
+        Self {
+            gate: Gate::new(&contract, start, now),
+            now,
+            next: 0,
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            started_since: Vec::new(),
+            answers: 0,
+            cold: contract.warm_after > 0 || start == Start::Restart,
+            restarted: start == Start::Restart,
+            contract,
+            closed: Vec::new(),
+        }
+    }
+
+    /// Most requests that a target may have that warms evenly with its answers.
+    fn ramp(&self) -> u32 {
+        let contract = &self.contract;
+        if !self.cold {
+            return contract.slots;
+        }
+        let bottom = if self.restarted {
+            1
+        } else {
+            contract.cold_slots
+        };
+        let done = self.answers.min(self.length());
+        bottom + (contract.slots - bottom) * done / self.length().max(1)
+    }
+
+    fn length(&self) -> u32 {
+        let least = if self.restarted {
+            self.contract.slots
+        } else {
+            0
+        };
+        self.contract.warm_after.max(least)
+    }
+
+    fn warm_up(&mut self) {
+        self.cold &= self.answers < self.length();
+        self.restarted &= self.cold;
+    }
+
+    fn start(&mut self, ticket: Ticket) {
+        self.running.insert(ticket.id, ticket);
+        self.started_since.push(ticket.id);
+        let suspects = self.running.values().filter(|ticket| ticket.suspect);
+        assert!(suspects.count() <= 1, "two suspects run");
+        assert!(self.closed.is_empty(), "started while closed");
+        assert!(ticket.deadline > self.now, "started after its deadline");
+        // Within one call the limits move before the starts, so those of now apply.
+        let count = self.running.len();
+        assert!(count <= self.contract.slots as usize, "more than the slots");
+        assert!(count <= self.ramp() as usize, "more than the ramp");
+        assert!(count <= self.gate.limit() as usize, "more than the limit");
+    }
+
+    fn absorb(&mut self) {
+        for action in actions(&mut self.gate) {
+            match action {
+                Action::Start(id) => {
+                    let ticket = self.waiting.remove(&id).expect("started one that waits");
+                    self.start(ticket);
+                }
+                Action::Refuse(id, _) => {
+                    self.waiting.remove(&id).expect("refused one that waits");
+                }
+            }
+        }
+    }
+
+    fn offer(&mut self, weight: u32, left: u64, suspect: bool) {
+        self.next += 1;
+        let ticket = Ticket {
+            id: self.next,
+            weight,
+            deadline: self.now + Duration::from_millis(left),
+            suspect,
+        };
+        let decision = self.gate.offer(ticket, self.now);
+        // Actions of an offer happen before its decision.
+        self.absorb();
+        match decision {
+            Decision::Run => self.start(ticket),
+            Decision::Wait => drop(self.waiting.insert(ticket.id, ticket)),
+            Decision::Refuse(_) => {}
+        }
+    }
+
+    fn complete(&mut self, index: usize, result: Completion) {
+        let nth = index % self.running.len();
+        let Some((&id, _)) = self.running.iter().nth(nth) else {
+            return;
+        };
+        self.running.remove(&id);
+        let counts = self.started_since.contains(&id);
+        if result == Completion::Answered && counts {
+            self.answers += 1;
+            self.warm_up();
+        }
+        if result == Completion::Reset && counts {
+            self.started_since.clear();
+            self.answers = 0;
+            self.cold = self.length() > 0;
+        }
+        self.gate.complete(id, result, self.now);
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Offer(weight, left, suspect) => self.offer(weight, left, suspect),
+            Step::Complete(index, result) if !self.running.is_empty() => {
+                self.complete(index, result);
+            }
+            Step::Complete(..) => {}
+            Step::Cancel(index) => {
+                let id = index as u64 % (self.next + 1);
+                let place = self.gate.cancel(id, self.now);
+                let waited = self.waiting.remove(&id).is_some();
+                assert_eq!(place == Some(Place::Waiting), waited);
+                let runs = self.running.contains_key(&id);
+                assert_eq!(place == Some(Place::Running), runs);
+            }
+            Step::Tick(millis) => {
+                self.now += Duration::from_millis(millis);
+                self.gate.tick(self.now);
+            }
+            Step::Close(reason, on) => {
+                self.closed.retain(|known| *known != reason);
+                if on {
+                    self.closed.push(reason);
+                }
+                self.gate.set_state(reason, on);
+            }
+            Step::Replace(contract) => {
+                self.contract = contract;
+                self.warm_up();
+                self.gate.set_contract(&self.contract, self.now);
+            }
+            Step::Report(in_flight, capacity, ready) => {
+                let report = Report {
+                    in_flight,
+                    capacity,
+                    ready,
+                };
+                self.gate.observe_report(report, self.now);
+            }
+        }
+        self.absorb();
+        self.check();
+    }
+
+    fn check(&mut self) {
+        assert_eq!(self.gate.running(), self.running.len());
+        assert_eq!(self.gate.queued(), self.waiting.len());
+        assert!(self.waiting.len() <= self.contract.queue as usize);
+        assert!(self.closed.is_empty() || self.waiting.is_empty());
+        assert!((1..=self.contract.slots).contains(&self.gate.limit()));
+        let due = self.gate.next_deadline();
+        assert!(self.waiting.is_empty() || due.is_some());
+        let load = self.gate.load();
+        assert_eq!(load.in_flight as usize, self.running.len());
+        let free = self.running.len() < load.limit as usize;
+        let startable = self.waiting.values().any(|ticket| !ticket.suspect);
+        assert!(!free || !startable, "a slot is free while a request waits");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+
+    /// Guards against any interleaving that breaks the slots, the ramp, the limit, the single
+    /// suspect, the queue bound, or the one outcome of each request.
+    #[test]
+    fn invariant_holds(steps in prop::collection::vec(step(), 1..250), restart: bool) {
+        let start = if restart { Start::Restart } else { Start::Fresh };
+        let mut model = Model::new(contract(8, 4, 2, 20), start);
+        for step in steps {
+            model.apply(step);
+        }
+    }
+
+    /// Guards against a deadline that `tick` does not serve, which would make the shell spin.
+    #[test]
+    fn deadline_served(steps in prop::collection::vec(step(), 1..100)) {
+        let mut model = Model::new(contract(2, 6, 1, 5), Start::Fresh);
+        for step in steps {
+            model.apply(step);
+            if let Some(due) = model.gate.next_deadline() {
+                model.now = model.now.max(due);
+                model.gate.tick(model.now);
+                model.absorb();
+                prop_assert!(model.gate.next_deadline().is_none_or(|next| next > model.now));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilbay_admission/tests/limit.rs
@@ -0,0 +1,81 @@
+//! The limit falls when concurrency hurts the target, and stays when something else does.
+
+#[path = "support/world.rs"]
+mod world;
+
+use basilbay_admission::gate::Start;
+use basilbay_model::service::Contract;
+use world::{Kind, World};
+
+const KINDS: [Kind; 1] = [(1, 1.0, 500_000)];
+/// Requests a second that 18 slots of 10 ms serve.
+const CAPACITY: f64 = 1800.0;
+
+fn warm_world() -> World {
+    let mut world = World::new(&Contract::default(), Start::Fresh);
+    world.run(3000, 0.4 * CAPACITY, &KINDS);
+    assert_eq!(world.gate.limit(), 18);
+    world.reset_counts();
+    world
+}
+
+/// Guards against a limit that stays high while the target sheds, or low after it recovered.
+#[test]
+fn shedding_target() {
+    let mut world = warm_world();
+    world.bears = 6;
+    world.run(100, 2.0 * CAPACITY, &KINDS);
+    assert!(world.gate.limit() <= 8, "limit {}", world.gate.limit());
+    world.reset_counts();
+    world.run(2000, 2.0 * CAPACITY, &KINDS);
+    // 6 slots serve 600 a second.
+    println!("{} of 1200 served, {} shed", world.good, world.overloads);
+    assert!(world.good >= 1080, "{} served", world.good);
+    assert!(world.overloads < world.good / 10, "{}", world.overloads);
+    world.bears = 18;
+    world.run(2000, 2.0 * CAPACITY, &KINDS);
+    assert_eq!(world.gate.limit(), 18);
+}
+
+/// Guards against a limit that lets the requests of a target with few cores crowd each other.
+#[test]
+fn shared_cores() {
+    let mut world = World::new(&Contract::default(), Start::Fresh);
+    world.cores = 4;
+    world.run(3000, 0.1 * CAPACITY, &KINDS);
+    world.reset_counts();
+    world.run(4000, 2.0 * CAPACITY, &KINDS);
+    assert!(world.gate.limit() <= 13, "limit {}", world.gate.limit());
+    // 4 cores serve 400 a second.
+    println!("{} of 1600 served", world.good);
+    assert!(world.good >= 1440, "{} served", world.good);
+}
+
+/// Guards against short noisy bursts that halve the throughput.
+#[test]
+fn noisy_bursts() {
+    let mut world = warm_world();
+    for _ in 0..10 {
+        world.slowness = 3.0;
+        world.run(60, 1.2 * CAPACITY, &KINDS);
+        assert!(world.gate.limit() > 9, "limit {}", world.gate.limit());
+        world.slowness = 1.0;
+        world.run(500, 1.2 * CAPACITY, &KINDS);
+    }
+    let ideal = 10.0 * (0.06 * CAPACITY / 3.0 + 0.5 * CAPACITY);
+    let share = f64::from(world.good) / ideal;
+    println!("share of the throughput {share:.3}");
+    assert!(share >= 0.9, "{share:.3} served");
+}
+
+/// Guards against a limit that falls for slowness that concurrency does not cause.
+#[test]
+fn lasting_slowness() {
+    let mut world = warm_world();
+    world.slowness = 3.0;
+    world.run(20_000, 1.2 * CAPACITY, &KINDS);
+    let ideal = 20.0 * CAPACITY / 3.0;
+    let share = f64::from(world.good) / ideal;
+    println!("share of the throughput {share:.3}");
+    assert!(share >= 0.9, "{share:.3} served");
+}
--- /dev/null
+++ b/crates/basilbay_admission/tests/probe.rs
@@ -0,0 +1,112 @@
+//! Measuring costs the target a bounded share of its time, and its reports only lower trust.
+
+use std::time::{Duration, Instant};
+
+use basilbay_admission::gate::{Completion, Gate, Start};
+use basilbay_admission::probe::{Budget, Report};
+use basilbay_admission::request::Ticket;
+use basilbay_model::service::Contract;
+use proptest::prelude::*;
+
+fn contract(probe_permille: u32, cost_us: u64) -> Contract {
+    Contract {
+        probe_permille,
+        probe_cost: Duration::from_micros(cost_us),
+        warm_after: 0,
+        ..Contract::default()
+    }
+}
+
+fn report(in_flight: u32, capacity: u32, ready: bool) -> Report {
+    Report {
+        in_flight,
+        capacity,
+        ready,
+    }
+}
+
+/// Guards against probes where operators allow none.
+#[test]
+fn zero_share() {
+    let now = Instant::now();
+    let mut budget = Budget::new(&contract(0, 0), now);
+    assert_eq!(budget.due(), None);
+    assert!(!budget.take(now + Duration::from_secs(3600)));
+}
+
+/// Guards against more than one cheap probe a second, and a cost that overflows.
+#[test]
+fn gap_bounded() {
+    let now = Instant::now();
+    let cheap = Budget::new(&contract(1000, 1), now);
+    assert_eq!(cheap.due(), Some(now + Duration::from_secs(1)));
+    let dear = Budget::new(&contract(10, 60_000), now);
+    assert_eq!(dear.due(), Some(now + Duration::from_secs(6)));
+    let mut endless = Budget::new(&contract(1, u64::MAX), now);
+    assert!(!endless.take(now + Duration::from_secs(3600)));
+}
+
+proptest! {
+    /// Guards against a burst of probes at any moment, whatever the contract changes to.
+    #[test]
+    fn share_kept(
+        cost in 0u64..200_000,
+        permille in 1u32..1000,
+        waits in prop::collection::vec(0u64..5_000, 1..200),
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut budget = Budget::new(&contract(permille, cost), now);
+        let mut sent = 0u128;
+        for wait in waits {
+            now += Duration::from_millis(wait);
+            sent += u128::from(budget.take(now));
+            let elapsed = (now - start).as_micros();
+            prop_assert!(sent * u128::from(cost) * 1000 <= elapsed * u128::from(permille));
+            prop_assert!(sent * 1_000_000 <= elapsed);
+        }
+    }
+
+    /// Guards against a report that raises the limit or takes more than half of it.
+    #[test]
+    fn only_lowers(inside in 0u32..1000, capacity in 0u32..1000, ready: bool) {
+        let now = Instant::now();
+        let mut gate = Gate::new(&contract(10, 1), Start::Fresh, now);
+        let own = gate.limit();
+        gate.observe_report(report(inside, capacity, ready), now);
+        prop_assert!(gate.limit() <= own);
+        prop_assert!(gate.limit() >= own / 2);
+    }
+}
+
+/// Guards against a report of foreign work that is ignored, or heeded for ever.
+#[test]
+fn foreign_work() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(10, 1), Start::Fresh, now);
+    gate.observe_report(report(5, 0, true), now);
+    assert_eq!(gate.limit(), 13);
+    gate.tick(now + Duration::from_secs(3));
+    assert_eq!(gate.limit(), 18);
+}
+
+/// Guards against doubt of a report that only lags behind the gate's own requests.
+#[test]
+fn lagging_report() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(10, 1), Start::Fresh, now);
+    for id in 0..4 {
+        let ticket = Ticket {
+            id,
+            weight: 1,
+            deadline: now + Duration::from_secs(1),
+            suspect: false,
+        };
+        gate.offer(ticket, now);
+    }
+    for id in 0..4 {
+        gate.complete(id, Completion::Answered, now);
+    }
+    gate.observe_report(report(4, 0, true), now);
+    assert_eq!(gate.limit(), 18);
+}
--- /dev/null
+++ b/crates/basilbay_admission/tests/ramp.rs
@@ -0,0 +1,175 @@
+//! A cold target is handed what it bears, and one that turns cold is noticed.
+
+#[path = "support/world.rs"]
+mod world;
+
+use std::time::{Duration, Instant};
+
+use basilbay_admission::gate::{Completion, Decision, Gate, Start};
+use basilbay_admission::request::Ticket;
+use basilbay_model::service::Contract;
+use basilbay_wire::load::State;
+use world::{Kind, World};
+
+const KINDS: [Kind; 1] = [(1, 1.0, 500_000)];
+
+/// Runs rounds of as many requests as fit, each answered after `service`.
+struct Rounds {
+    gate: Gate,
+    now: Instant,
+    next: u64,
+    running: Vec<u64>,
+}
+
+impl Rounds {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            gate: Gate::new(&Contract::default(), Start::Fresh, now),
+            now,
+            next: 0,
+            running: Vec::new(),
+        }
+    }
+
+    fn fill(&mut self) {
+        while self.gate.running() < self.gate.limit() as usize {
+            self.offer();
+        }
+    }
+
+    fn offer(&mut self) {
+        let ticket = Ticket {
+            id: self.next,
+            weight: 1,
+            deadline: self.now + Duration::from_secs(9),
+            suspect: false,
+        };
+        assert_eq!(self.gate.offer(ticket, self.now), Decision::Run);
+        self.running.push(self.next);
+        self.next += 1;
+    }
+
+    fn end(&mut self, count: usize, result: Completion, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        for id in self.running.drain(..count) {
+            self.gate.complete(id, result, self.now);
+        }
+    }
+
+    fn answer(&mut self, completions: usize, millis: u64) {
+        let mut done = 0;
+        while done < completions {
+            self.fill();
+            let count = self.running.len().min(completions - done);
+            self.end(count, Completion::Answered, millis);
+            done += count;
+        }
+    }
+}
+
+/// Guards against a ramp that grows without answers or does not end after `warm_after`.
+#[test]
+fn answers_only() {
+    let mut rounds = Rounds::new();
+    rounds.gate.tick(rounds.now + Duration::from_secs(60));
+    assert_eq!(rounds.gate.limit(), 2);
+    for result in [Completion::Failed, Completion::Cancelled] {
+        for _ in 0..300 {
+            rounds.fill();
+            rounds.end(1, result, 10);
+        }
+        assert!(rounds.gate.limit() <= 2);
+    }
+    rounds.answer(199, 10);
+    assert_eq!(rounds.gate.state(), State::Cold);
+    rounds.answer(1, 10);
+    assert_eq!(rounds.gate.state(), State::Warm);
+}
+
+/// Guards against overload of a target that warms with its answers, at twice its capacity.
+#[test]
+fn cold_start() {
+    let contract = Contract::default();
+    let mut world = World::new(&contract, Start::Fresh);
+    world.warming = Some((contract.cold_slots, contract.warm_after));
+    world.run(3000, 3600.0, &KINDS);
+    assert_eq!(world.overloads, 0);
+    assert_eq!(world.gate.state(), State::Warm);
+}
+
+/// Guards against a target that turns cold with no signal and goes on getting full load.
+#[test]
+fn turns_cold() {
+    let mut rounds = Rounds::new();
+    rounds.answer(600, 10);
+    assert_eq!(rounds.gate.limit(), 18);
+    rounds.fill();
+    rounds.end(4, Completion::Answered, 100);
+    assert_eq!(rounds.gate.state(), State::Cold);
+    assert_eq!(rounds.gate.limit(), 2);
+    // The other 14 were started before it was noticed and prove no warmth.
+    rounds.end(14, Completion::Answered, 100);
+    assert_eq!(rounds.gate.limit(), 2);
+    rounds.answer(60, 100);
+    assert!(rounds.gate.limit() < 4);
+}
+
+/// Guards against one slow answer, or a slow kind of request, that is taken for a cold target.
+#[test]
+fn slow_kind() {
+    let mut rounds = Rounds::new();
+    rounds.answer(600, 10);
+    for _ in 0..200 {
+        for _ in 0..3 {
+            rounds.offer();
+            rounds.end(1, Completion::Answered, 100);
+        }
+        rounds.answer(40, 10);
+    }
+    assert_eq!(rounds.gate.state(), State::Warm);
+}
+
+/// Guards against a pause of the target that costs a whole cold start.
+#[test]
+fn short_pause() {
+    let mut rounds = Rounds::new();
+    rounds.answer(600, 10);
+    rounds.fill();
+    rounds.end(18, Completion::Answered, 200);
+    assert_eq!(rounds.gate.state(), State::Cold);
+    rounds.answer(25, 10);
+    assert_eq!(rounds.gate.state(), State::Warm);
+}
+
+/// Guards against a target that got slower for good and never leaves the ramp.
+#[test]
+fn slower_for_good() {
+    let mut rounds = Rounds::new();
+    rounds.answer(600, 10);
+    rounds.answer(1000, 100);
+    assert_eq!(rounds.gate.state(), State::Warm);
+    rounds.answer(1000, 100);
+    assert_eq!(rounds.gate.state(), State::Warm);
+    assert_eq!(rounds.gate.limit(), 18);
+}
+
+/// Guards against a crash that is counted once for each broken connection, or not at all.
+#[test]
+fn crash_once() {
+    let mut rounds = Rounds::new();
+    rounds.answer(600, 10);
+    rounds.fill();
+    rounds.end(16, Completion::Reset, 1);
+    assert_eq!(rounds.gate.limit(), 2);
+    let late = rounds.running.split_off(0);
+    rounds.gate.complete(late[0], Completion::Reset, rounds.now);
+    rounds.answer(150, 10);
+    let climbed = rounds.gate.limit();
+    assert!(climbed > 8);
+    rounds.gate.complete(late[1], Completion::Reset, rounds.now);
+    assert_eq!(rounds.gate.limit(), climbed);
+    rounds.fill();
+    rounds.end(1, Completion::Reset, 1);
+    assert_eq!(rounds.gate.limit(), 2);
+}
--- /dev/null
+++ b/crates/basilbay_admission/tests/shedding.rs
@@ -0,0 +1,131 @@
+//! Under overload the heaviest requests are served in time, and the rest is told early.
+
+#[path = "support/world.rs"]
+mod world;
+
+use std::time::{Duration, Instant};
+
+use basilbay_admission::gate::{Action, Completion, Decision, Gate, Start};
+use basilbay_admission::request::Ticket;
+use basilbay_model::service::Contract;
+use basilbay_wire::problem::Cause;
+use world::{Kind, World};
+
+/// Requests a second that 18 slots of 10 ms serve.
+const CAPACITY: f64 = 1800.0;
+
+fn busy_gate(queue: u32, now: Instant) -> Gate {
+    let contract = Contract {
+        slots: 1,
+        cold_slots: 1,
+        warm_after: 0,
+        queue,
+        ..Contract::default()
+    };
+    let mut gate = Gate::new(&contract, Start::Fresh, now);
+    gate.offer(ticket(0, 1, 10_000, now), now);
+    gate.complete(0, Completion::Answered, now + Duration::from_millis(10));
+    gate.offer(ticket(1, 1, 10_000, now), now);
+    gate
+}
+
+fn ticket(id: u64, weight: u32, millis: u64, now: Instant) -> Ticket {
+    Ticket {
+        id,
+        weight,
+        deadline: now + Duration::from_millis(millis),
+        suspect: false,
+    }
+}
+
+fn actions(gate: &mut Gate) -> Vec<Action> {
+    gate.drain_actions().collect()
+}
+
+/// Guards against a heavy request that is refused while a light one waits.
+#[test]
+fn light_gives_way() {
+    let now = Instant::now();
+    let mut gate = busy_gate(2, now);
+    gate.offer(ticket(2, 1, 900, now), now);
+    gate.offer(ticket(3, 5, 900, now), now);
+    let refused = Decision::Refuse(Cause::NoCapacity);
+    assert_eq!(gate.offer(ticket(4, 1, 900, now), now), refused);
+    assert_eq!(gate.offer(ticket(5, 3, 900, now), now), Decision::Wait);
+    let shed = Action::Refuse(2, Cause::NoCapacity);
+    assert_eq!(actions(&mut gate), [shed]);
+}
+
+/// Guards against a smaller queue that sheds a heavy request before a light one.
+#[test]
+fn queue_shrinks() {
+    let now = Instant::now();
+    let mut gate = busy_gate(3, now);
+    for (id, weight) in [(2, 4), (3, 1), (4, 2)] {
+        gate.offer(ticket(id, weight, 900, now), now);
+    }
+    let contract = Contract {
+        slots: 1,
+        cold_slots: 1,
+        queue: 1,
+        ..Contract::default()
+    };
+    gate.set_contract(&contract, now);
+    let shed = [3, 4].map(|id| Action::Refuse(id, Cause::NoCapacity));
+    assert_eq!(actions(&mut gate), shed);
+}
+
+/// Guards against a slot spent on a request that cannot finish in its time.
+#[test]
+fn cannot_finish() {
+    let now = Instant::now();
+    let mut gate = busy_gate(4, now);
+    let late = Decision::Refuse(Cause::DeadlinePassed);
+    assert_eq!(gate.offer(ticket(2, 1, 9, now), now), late);
+    assert_eq!(gate.offer(ticket(3, 1, 50, now), now), Decision::Wait);
+    let last = now + Duration::from_millis(40);
+    assert_eq!(gate.next_deadline(), Some(last));
+    gate.tick(last - Duration::from_micros(1));
+    assert_eq!(actions(&mut gate), []);
+    gate.tick(last);
+    let expired = Action::Refuse(3, Cause::DeadlinePassed);
+    assert_eq!(actions(&mut gate), [expired]);
+}
+
+/// Guards against an unfair order in a calm queue and a hopeless one in an overloaded queue.
+#[test]
+fn queue_order() {
+    let now = Instant::now();
+    for (wait, expected) in [(50, 2), (99, 2), (101, 5)] {
+        let mut gate = busy_gate(4, now);
+        gate.offer(ticket(2, 1, 9_000, now), now);
+        let later = now + Duration::from_millis(30);
+        for (id, weight) in [(3, 2), (4, 1), (5, 2)] {
+            gate.offer(ticket(id, weight, 9_000, now), later);
+        }
+        gate.complete(1, Completion::Failed, now + Duration::from_millis(wait));
+        let started = actions(&mut gate).pop();
+        assert_eq!(started, Some(Action::Start(expected)), "after {wait} ms");
+    }
+}
+
+/// Guards against weighted goodput under 95% of capacity at twice the capacity offered.
+#[test]
+fn twice_capacity() {
+    let kinds: [Kind; 2] = [(1, 0.6, 200_000), (5, 0.4, 200_000)];
+    let mut world = World::new(&Contract::default(), Start::Fresh);
+    world.run(3000, CAPACITY, &kinds);
+    world.reset_counts();
+    let seconds = 10.0;
+    world.run(10_000, 2.0 * CAPACITY, &kinds);
+    // The best that 18 slots can do: all heavy requests, the rest light.
+    let heavy = 0.4 * 2.0 * CAPACITY * seconds;
+    let best = heavy * 5.0 + (CAPACITY * seconds - heavy);
+    let goodput = world.good_weight / best;
+    let answered = f64::from(world.good) / (CAPACITY * seconds);
+    world.latencies.sort_unstable();
+    let p99 = world.latencies[world.latencies.len() * 99 / 100];
+    println!("weighted goodput {goodput:.3}, answered {answered:.3}, p99 {p99} us");
+    assert!(goodput >= 0.95, "weighted goodput {goodput:.3}");
+    assert_eq!(world.overloads, 0);
+}
--- a/crates/basilbay_admission/tests/support/world.rs
+++ b/crates/basilbay_admission/tests/support/world.rs
@@ -1,5 +1,9 @@
 //! A deterministic target behind a gate, on a virtual clock in microseconds.
-#![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses a part of it"
+)]
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
