--- a/crates/basilbay_keys/src/history.rs
+++ b/crates/basilbay_keys/src/history.rs
@@ -110,7 +110,8 @@
 
     /// Takes in a roster; one that is older than what is known changes nothing.
     pub fn observe(&mut self, roster: &Roster) {
-        if self.first.is_none() {
+        let previous = self.newest();
+        if previous.is_none() {
             self.first = Some(roster.as_of_ms);
         } else if roster.version < self.version || roster.as_of_ms < self.newest {
             return;
@@ -122,7 +123,7 @@
             self.note_gap(roster);
         }
         self.remove_missing(roster);
-        self.add_present(roster);
+        self.add_present(roster, previous);
         self.version = roster.version;
         self.newest = roster.as_of_ms;
         self.prune();
@@ -192,14 +193,20 @@
         }
     }
 
-    fn add_present(&mut self, roster: &Roster) {
+    fn add_present(&mut self, roster: &Roster, previous: Option<Stamp>) {
         for instance in roster.of_service(&self.service) {
             let place = self.records.binary_search_by(|record| {
                 (&*record.id, record.listed_at).cmp(&(&*instance.id, instance.listed_at_ms))
             });
             match place {
                 Ok(index) => refresh(&mut self.records[index], instance, roster.as_of_ms),
-                Err(index) => self.records.insert(index, Record::new(instance)),
+                Err(index) => {
+                    let mut record = Record::new(instance);
+                    // Listed before the previous roster and yet not in it: it was away.
+                    let is_back = previous.is_some_and(|at| instance.listed_at_ms <= at);
+                    record.returned_at = is_back.then_some(roster.as_of_ms);
+                    self.records.insert(index, record);
+                }
             }
         }
     }
--- a/crates/basilbay_keys/tests/once.rs
+++ b/crates/basilbay_keys/tests/once.rs
@@ -14,7 +14,8 @@
 const STABLE: u64 = 28_500;
 
 fn config(cases: u32) -> ProptestConfig {
-    let cases = std::env::var("PROPTEST_CASES").map_or(cases, |text| text.parse().unwrap());
+    let asked = std::env::var("PROPTEST_CASES").ok();
+    let cases = asked.and_then(|text| text.parse().ok()).unwrap_or(cases);
     ProptestConfig {
         cases,
         rng_seed: RngSeed::Fixed(20_261_204),
--- a/crates/basilbay_keys/tests/support/roster.rs
+++ b/crates/basilbay_keys/tests/support/roster.rs
@@ -10,7 +10,7 @@
 pub(crate) const RETENTION: Duration = Duration::from_secs(20);
 
 pub(crate) fn instance(id: &str, listed: Stamp) -> Instance {
-    let address = "127.0.0.1:1".parse().unwrap();
+    let address = ([127, 0, 0, 1], 1).into();
     Instance {
         id: Arc::from(id),
         service: Arc::from(SERVICE),
@@ -46,5 +46,5 @@
         None => format!("order-{number}"),
     };
     let wall = UNIX_EPOCH + Duration::from_millis(issued.unwrap_or(0));
-    Key::parse(&text, wall).unwrap()
+    Key::parse(&text, wall).expect("a valid key")
 }
--- a/crates/basilbay_keys/tests/support/world.rs
+++ b/crates/basilbay_keys/tests/support/world.rs
@@ -141,7 +141,7 @@
             let found = home::find(history, SERVICE, &key, wall, RETENTION);
             let target = (0..self.daemons.len())
                 .find(|at| found == home::Verdict::At(self.daemons[*at].id.as_str().into()));
-            let decision = self.decide(target.unwrap(), &key);
+            let decision = self.decide(target.expect("a home"), &key);
             self.keys[index].runs += u32::from(decision == Decision::Claim(Claim::Run));
         }
         self.keys[index].runs
@@ -210,7 +210,7 @@
             .iter()
             .rev()
             .find_map(|(_, roster)| roster.instance(&id).cloned())
-            .unwrap();
+            .expect("an instance that was listed");
         if fresh {
             known = instance(&id, self.time);
         }
@@ -221,7 +221,7 @@
     fn observe(&mut self, at: usize, lag: u64) {
         let as_of = self.time.saturating_sub(lag).max(EPOCH);
         let held = self.states.iter().rev().find(|(from, _)| *from <= as_of);
-        let mut roster = held.unwrap().1.clone();
+        let mut roster = held.expect("a first state").1.clone();
         roster.as_of_ms = as_of;
         self.daemons[at].history.observe(&roster);
     }
