--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -75,6 +75,12 @@
     PLATFORM_UNREACHABLE 205 Warning "platform-unreachable"
         "The configuration service or the instance list does not answer."
         "The fleet serves on; restore the service before the next change.";
+    ROSTER_CONFLICT 206 Error "roster-conflict"
+        "Two different instance lists carry the same version; the first one stays in use."
+        "Look for replicas of the instance list that disagree.";
+    ROSTER_OLDER 207 Warning "roster-older"
+        "A source offered an instance list older than the one in use; it was ignored."
+        "If it persists, look for a stale replica of the instance list.";
     TARGET_DOWN 300 Error "target-down"
         "The target refuses connections or reset all of them."
         "Look at the target's own log; the daemon retries by itself.";
@@ -82,4 +88,16 @@
         "The target is on the ramp of a cold start." "Nothing; work returns with completions.";
     TARGET_WARM 302 Info "target-warm"
         "The target completed its cold start." "Nothing.";
+    EDITS_MISMATCH 600 Warning "edits-mismatch"
+        "Edits of a peer did not lead to the announced digest; the whole text is pulled."
+        "If it recurs, look for daemons of different builds.";
+    PULL_FAILED 601 Info "pull-failed"
+        "A peer did not deliver what it announced; another one is asked." "Nothing.";
+    PEER_LEAVING 602 Info "peer-leaving"
+        "A peer's target leaves, by its own notice." "Nothing.";
+    ISOLATED 603 Error "isolated"
+        "Neither a peer nor the platform was heard for 3 s; new work is refused."
+        "Look at the network of this host.";
+    REJOINED 604 Info "rejoined"
+        "A peer or the platform is heard again." "Nothing.";
 }
