--- a/crates/basilbay_client/src/fleet.rs
+++ b/crates/basilbay_client/src/fleet.rs
@@ -16,8 +16,9 @@
 
 use crate::run::Result;
 
-/// Daemons that are asked at the same time; below the usual limit of 1024 open files.
-const MAX_CONCURRENT: usize = 256;
+/// Daemons that are asked at the same time: below the usual limit of 1024 open files, and above the
+/// 630 daemons of the largest fleet, so that silent daemons do not keep others from being asked.
+const MAX_CONCURRENT: usize = 900;
 
 /// A daemon that did not answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -103,7 +104,7 @@
 async fn ask_peer(peer: &Peer, permits: &Semaphore, deadline: Instant) -> Result<Status> {
     let _permit = timeout_at(deadline.into(), permits.acquire())
         .await
-        .map_err(|_| late())??;
+        .map_err(|_| anyhow!("not asked; too many other daemons did not answer"))??;
     let status = status(peer.admin, deadline, Call::Brief).await?;
     if status.instance != peer.instance {
         bail!("the address belongs to {} now", status.instance);
--- a/crates/basilbay_client/src/status.rs
+++ b/crates/basilbay_client/src/status.rs
@@ -116,6 +116,8 @@
     pub laggards: Vec<Laggard>,
     /// Daemons that did not answer.
     pub unreachable: Vec<Silent>,
+    /// Answers of the daemons, without their peers.
+    pub daemons: Vec<Status>,
 }
 
 /// Sums up the answers of the instances that the filter admits.
@@ -128,11 +130,13 @@
         .unwrap_or(0);
     let mut groups = BTreeMap::new();
     let mut laggards = Vec::new();
-    let answers = fleet
+    let daemons: Vec<Status> = fleet
         .answers
         .iter()
-        .filter(|status| filter.admits(&status.service, &status.domain));
-    for status in answers {
+        .filter(|status| filter.admits(&status.service, &status.domain))
+        .map(without_peers)
+        .collect();
+    for status in &daemons {
         for group in groups_of(&mut groups, &status.service, &status.domain) {
             add(group, status, newest_version);
         }
@@ -156,6 +160,14 @@
         groups: groups.into_values().collect(),
         laggards,
         unreachable: silent.into_iter().map(silent_entry).collect(),
+        daemons,
+    }
+}
+
+fn without_peers(status: &Status) -> Status {
+    Status {
+        peers: Vec::new(),
+        ..status.clone()
     }
 }
 
--- a/crates/basilbay_client/tests/explain.rs
+++ b/crates/basilbay_client/tests/explain.rs
@@ -7,6 +7,8 @@
 use fleet::{Fleet, run, status, stdout};
 use insta::assert_snapshot;
 
+const PAGE: &str = include_str!("../../../docs/operations/reading-status.md");
+
 fn fleet() -> Fleet {
     Fleet::start(vec![status("pay-1", "paydesk", "tt-north-1", 7)])
 }
@@ -25,6 +27,10 @@
         "--daemon",
         &address,
     ]);
+    assert!(
+        PAGE.contains(&stdout(&output)),
+        "the page shows this output"
+    );
     assert_snapshot!(stdout(&output));
     assert_eq!(output.status.code(), Some(0));
     let plain = stdout(&run(&["explain", "paydesk", "--daemon", &address]));
--- a/crates/basilbay_client/tests/status.rs
+++ b/crates/basilbay_client/tests/status.rs
@@ -14,6 +14,8 @@
 use fleet::{Fleet, peer, run, status, stdout};
 use insta::assert_snapshot;
 
+const PAGE: &str = include_str!("../../../docs/operations/reading-status.md");
+
 /// A small fleet with a laggard, a daemon without configuration and one that does not answer.
 fn answers() -> Answers {
     let cold = Status {
@@ -52,6 +54,7 @@
 #[test]
 fn whole_fleet() {
     let output = show(None, None, false);
+    assert!(PAGE.contains(&output.text), "the page shows this output");
     assert_snapshot!(output.text);
     assert_eq!(output.code, Code::Good);
     assert_snapshot!(show(None, None, true).text);
