--- a/crates/basilbay_client/tests/status.rs
+++ b/crates/basilbay_client/tests/status.rs
@@ -92,6 +92,23 @@
     assert_eq!(output.status.code(), Some(0));
 }
 
+/// Guards against silent daemons that keep the rest of a large fleet from being asked.
+#[test]
+fn many_silent() {
+    let mut fleet = Fleet::start(vec![
+        status("pay-1", "paydesk", "tt-north-1", 7),
+        status("pay-2", "paydesk", "tt-north-1", 7),
+    ]);
+    for number in 0..300 {
+        fleet.introduce_silent(&format!("silent-{number}"));
+    }
+    let address = fleet.address().to_string();
+    let arguments = ["status", "--daemon", &address, "--deadline-ms", "800"];
+    let text = stdout(&run(&arguments));
+    let row: Vec<&str> = text.lines().nth(1).unwrap().split_whitespace().collect();
+    assert_eq!(row.get(..4).unwrap(), ["fleet", "all", "2", "300"]);
+}
+
 /// Guards against a missing daemon that looks like an empty fleet.
 #[test]
 fn first_unreachable() {
--- a/crates/basilbay_client/tests/support/fleet.rs
+++ b/crates/basilbay_client/tests/support/fleet.rs
@@ -90,11 +90,11 @@
         self.daemons.first().expect("there is a daemon").0
     }
 
-    /// Adds an instance to all rosters.
+    /// Adds an instance to all rosters, before the others.
     pub(crate) fn introduce(&self, peer: Peer) {
         for (_, daemon) in &self.daemons {
             let mut status = daemon.status.lock().expect("no test panics here");
-            status.peers.push(peer.clone());
+            status.peers.insert(0, peer.clone());
         }
     }
 
