--- a/crates/basilbay_client/tests/status.rs
+++ b/crates/basilbay_client/tests/status.rs
@@ -14,6 +14,8 @@
 use fleet::{Fleet, peer, run, status, stdout};
 use insta::assert_snapshot;
 
+const PAGE: &str = include_str!("../../../docs/operations/reading-status.md");
+
 /// A small fleet with a laggard, a daemon without configuration and one that does not answer.
 fn answers() -> Answers {
     let cold = Status {
@@ -52,6 +54,7 @@
 #[test]
 fn whole_fleet() {
     let output = show(None, None, false);
+    assert!(PAGE.contains(&output.text), "the page shows this output");
     assert_snapshot!(output.text);
     assert_eq!(output.code, Code::Good);
     assert_snapshot!(show(None, None, true).text);
@@ -89,6 +92,23 @@
     assert_eq!(output.status.code(), Some(0));
 }
 
+/// Guards against silent daemons that keep the rest of a large fleet from being asked.
+#[test]
+fn many_silent() {
+    let mut fleet = Fleet::start(vec![
+        status("pay-1", "paydesk", "tt-north-1", 7),
+        status("pay-2", "paydesk", "tt-north-1", 7),
+    ]);
+    for number in 0..300 {
+        fleet.introduce_silent(&format!("silent-{number}"));
+    }
+    let address = fleet.address().to_string();
+    let arguments = ["status", "--daemon", &address, "--deadline-ms", "800"];
+    let text = stdout(&run(&arguments));
+    let row: Vec<&str> = text.lines().nth(1).unwrap().split_whitespace().collect();
+    assert_eq!(row.get(..4).unwrap(), ["fleet", "all", "2", "300"]);
+}
+
 /// Guards against a missing daemon that looks like an empty fleet.
 #[test]
 fn first_unreachable() {
