Add the fleet starter, the callers, the account and the demo

The daemon had no way to be measured end to end. basilbay-load now starts the stand-ins and the daemons as real processes, sends open-loop Poisson load and compares what callers were told with what the targets ran.

--- /dev/null
+++ b/crates/basilbay_load/src/account.rs
@@ -0,0 +1,311 @@
+//! Compares what callers were told with what the targets ran.
+//!
+//! The inputs are plain data, so that each rule can be tested on a canned example.
+
+pub mod row;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use basilbay_fakes::targets::account::{Run, Violation};
+use basilbay_model::id::{DomainId, InstanceId};
+use serde::{Deserialize, Serialize};
+
+use crate::client::record::{Record, Told};
+use crate::fleet::event::{Event, Fact};
+use crate::plan::Stream;
+use row::{Class, Row};
+
+/// Time after publishing in which a target of a domain that is out may still get work (P3).
+pub const DOMAIN_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time after a target starts to leave in which it may still get work (P7).
+pub const LEAVING_LIMIT: Duration = Duration::from_secs(2);
+
+/// Ids that are printed with a violation.
+const EXAMPLES: usize = 5;
+
+/// Everything that is known of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Evidence<'a> {
+    /// Streams of the plan.
+    pub streams: &'a [Stream],
+    /// What callers were told.
+    pub records: &'a [Record],
+    /// What the targets ran.
+    pub runs: &'a [Run],
+    /// Limits that the targets saw broken.
+    pub violations: &'a [Violation],
+    /// What was done to the fleet.
+    pub events: &'a [Event],
+    /// Failure domain of each target.
+    pub domains: &'a [(InstanceId, DomainId)],
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Breach {
+    /// How often.
+    pub count: u64,
+    /// Some of the request ids or targets.
+    pub examples: Vec<String>,
+}
+
+impl Breach {
+    fn add(&mut self, example: impl FnOnce() -> String) {
+        self.count += 1;
+        if self.examples.len() < EXAMPLES {
+            self.examples.push(example());
+        }
+    }
+
+    fn add_many(&mut self, count: u64, example: &str) {
+        if count > 0 {
+            self.count += count;
+            self.examples.push(format!("{example} ({count})"));
+        }
+    }
+}
+
+/// Broken rules by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Breaches {
+    /// No answer at all, or none to an idempotent request although time was left.
+    pub lost: Breach,
+    /// A key, or a non-idempotent request, ran twice.
+    pub doubled: Breach,
+    /// An answer that is not whole or belongs to another request.
+    pub foreign: Breach,
+    /// Told not run, but it ran.
+    pub told_not_run: Breach,
+    /// Ran in a domain that had been out for longer than the limit.
+    pub domain_out: Breach,
+    /// Ran on a target that had been leaving for longer than the limit.
+    pub leaving: Breach,
+    /// More work than slots.
+    pub over_slots: Breach,
+    /// More work than a cold target bears.
+    pub over_cold: Breach,
+    /// More connections than the target accepts.
+    pub over_connections: Breach,
+}
+
+impl Breaches {
+    /// All rules with their names.
+    pub fn named(&self) -> [(&'static str, &Breach); 9] {
+        [
+            ("lost", &self.lost),
+            ("doubled", &self.doubled),
+            ("foreign or cut answer", &self.foreign),
+            ("told not run but ran", &self.told_not_run),
+            ("run while domain out", &self.domain_out),
+            ("run while leaving", &self.leaving),
+            ("over slots", &self.over_slots),
+            ("over cold", &self.over_cold),
+            ("over connections", &self.over_connections),
+        ]
+    }
+
+    /// All broken rules together.
+    pub fn total(&self) -> u64 {
+        self.named().iter().map(|(_, breach)| breach.count).sum()
+    }
+}
+
+/// The account of a run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Account {
+    /// All requests together.
+    pub all: Row,
+    /// By service, in the order of the streams.
+    pub services: Vec<Row>,
+    /// Broken rules.
+    pub breaches: Breaches,
+    /// Latest start of a run after its domain was taken out, in ms.
+    pub latest_after_out_ms: Option<f64>,
+    /// Latest start of a run after its target started to leave, in ms.
+    pub latest_after_leaving_ms: Option<f64>,
+    /// Arrivals were sent this late, in us: median, 99 in 100, worst.
+    pub lag_us: [u64; 3],
+    /// Runs at the targets.
+    pub runs: u64,
+}
+
+impl Account {
+    /// Draws up the account.
+    pub fn new(evidence: &Evidence<'_>) -> Self {
+        let mut all = Row::new("all");
+        let mut services: Vec<Row> = Vec::new();
+        for stream in evidence.streams {
+            if services.iter().all(|row| *row.name != *stream.service) {
+                services.push(Row::new(&stream.service));
+            }
+        }
+        let mut breaches = Breaches::default();
+        for record in evidence.records {
+            let stream = &evidence.streams[record.stream];
+            let class = classify(record, stream);
+            all.add(record, stream, class);
+            if let Some(row) = services.iter_mut().find(|row| *row.name == *stream.service) {
+                row.add(record, stream, class);
+            }
+            match class {
+                Class::Lost => breaches.lost.add(|| name(record)),
+                Class::Foreign => breaches.foreign.add(|| name(record)),
+                _ => {}
+            }
+        }
+        count_runs(evidence, &mut breaches);
+        count_limits(evidence, &mut breaches);
+        let latest_after_out_ms = count_out(evidence, &mut breaches);
+        let latest_after_leaving_ms = count_leaving(evidence, &mut breaches);
+        all.finish();
+        services.iter_mut().for_each(Row::finish);
+        Self {
+            all,
+            services,
+            breaches,
+            latest_after_out_ms,
+            latest_after_leaving_ms,
+            lag_us: lag(evidence.records),
+            runs: evidence.runs.len() as u64,
+        }
+    }
+}
+
+fn name(record: &Record) -> String {
+    let last = record.attempts.last();
+    last.map_or_else(String::new, |attempt| {
+        format!("{} {:?}", attempt.id, attempt.told)
+    })
+}
+
+/// What became of a request, as its caller sees it.
+pub fn classify(record: &Record, stream: &Stream) -> Class {
+    let is_late = u128::from(record.took_us) > stream.timeout.as_micros();
+    match record.told() {
+        Told::Answer(200) if !record.is_whole => Class::Foreign,
+        Told::Answer(200) if is_late => Class::Late,
+        Told::Answer(200) => Class::Answered,
+        Told::Answer(504) | Told::NotRun(504) | Told::Unknown(504) => Class::Late,
+        Told::Answer(_) => Class::Failed,
+        Told::NotRun(_) | Told::Unreachable => Class::Refused,
+        Told::Silent => Class::Lost,
+        Told::Unknown(_) | Told::Broken if is_late => Class::Late,
+        Told::Unknown(_) | Told::Broken if stream.idempotent => Class::Lost,
+        Told::Unknown(_) | Told::Broken => Class::Unknown,
+    }
+}
+
+/// The request id without the number of the attempt and the rest of a call chain.
+fn origin(id: &str) -> &str {
+    id.split(['~', '/']).next().unwrap_or(id)
+}
+
+fn count_runs(evidence: &Evidence<'_>, breaches: &mut Breaches) {
+    let mut by_request: HashMap<&str, u64> = HashMap::new();
+    let mut by_key: HashMap<&str, u64> = HashMap::new();
+    for run in evidence.runs {
+        *by_request.entry(&run.request).or_default() += 1;
+        if let Some(key) = &run.key {
+            *by_key.entry(key).or_default() += 1;
+        }
+    }
+    for record in evidence.records {
+        let stream = &evidence.streams[record.stream];
+        let ran = |id: &str| by_request.get(id).copied().unwrap_or(0);
+        let total: u64 = record.attempts.iter().map(|attempt| ran(&attempt.id)).sum();
+        let key = record.key.as_deref();
+        let by_its_key = key.and_then(|key| by_key.get(key)).copied().unwrap_or(0);
+        if !stream.idempotent && total.max(by_its_key) > 1 {
+            breaches.doubled.add(|| name(record));
+        }
+        for attempt in &record.attempts {
+            if matches!(attempt.told, Told::NotRun(_)) && ran(&attempt.id) > 0 {
+                breaches.told_not_run.add(|| attempt.id.to_string());
+            }
+        }
+        if matches!(record.told(), Told::Unreachable) && total > 0 {
+            breaches
+                .told_not_run
+                .add(|| origin(&name(record)).to_owned());
+        }
+    }
+}
+
+fn count_limits(evidence: &Evidence<'_>, breaches: &mut Breaches) {
+    for violation in evidence.violations {
+        let target = &violation.target;
+        breaches.over_slots.add_many(violation.over_slots, target);
+        breaches.over_cold.add_many(violation.over_cold, target);
+        breaches
+            .over_connections
+            .add_many(violation.over_connections, target);
+    }
+}
+
+/// Runs that start while a fact holds, with the time since it began.
+fn after<'a>(
+    evidence: &'a Evidence<'_>,
+    begin_us: u64,
+    end_us: u64,
+    concerns: impl Fn(&InstanceId) -> bool + 'a,
+) -> impl Iterator<Item = (&'a Run, Duration)> {
+    evidence
+        .runs
+        .iter()
+        .filter(move |run| (begin_us..end_us).contains(&run.start_us) && concerns(&run.target))
+        .map(move |run| (run, Duration::from_micros(run.start_us - begin_us)))
+}
+
+fn count_out(evidence: &Evidence<'_>, breaches: &mut Breaches) -> Option<f64> {
+    let mut latest = None;
+    for (index, event) in evidence.events.iter().enumerate() {
+        let Fact::DomainOut(domain) = &event.fact else {
+            continue;
+        };
+        let back = evidence.events[index..]
+            .iter()
+            .find(|event| event.fact == Fact::DomainIn(domain.clone()));
+        let end_us = back.map_or(u64::MAX, |event| event.at_us);
+        let concerns = |target: &InstanceId| {
+            let domains = evidence.domains.iter();
+            domains.clone().any(|(id, of)| id == target && of == domain)
+        };
+        for (run, since) in after(evidence, event.at_us, end_us, concerns) {
+            latest = latest.max(Some(since));
+            if since > DOMAIN_LIMIT {
+                breaches.domain_out.add(|| run.request.to_string());
+            }
+        }
+    }
+    latest.map(|latest: Duration| latest.as_secs_f64() * 1000.0)
+}
+
+fn count_leaving(evidence: &Evidence<'_>, breaches: &mut Breaches) -> Option<f64> {
+    let mut latest = None;
+    for event in evidence.events {
+        let Fact::Leaving(leaving) = &event.fact else {
+            continue;
+        };
+        for (run, since) in after(evidence, event.at_us, u64::MAX, |target| target == leaving) {
+            latest = latest.max(Some(since));
+            if since > LEAVING_LIMIT {
+                breaches.leaving.add(|| run.request.to_string());
+            }
+        }
+    }
+    latest.map(|latest: Duration| latest.as_secs_f64() * 1000.0)
+}
+
+fn lag(records: &[Record]) -> [u64; 3] {
+    let mut lags: Vec<u64> = records.iter().map(|record| record.lag_us).collect();
+    lags.sort_unstable();
+    let at = |share: f64| {
+        let index = (lags.len() as f64 * share) as usize;
+        lags.get(index.min(lags.len().saturating_sub(1)))
+            .copied()
+            .unwrap_or(0)
+    };
+    [at(0.5), at(0.99), at(1.0)]
+}
--- /dev/null
+++ b/crates/basilbay_load/src/deployment.rs
@@ -0,0 +1,218 @@
+//! Deployments: a configuration, how many workers each service has, and how long requests run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use basilbay_fakes::targets::spec::ServiceTime;
+use basilbay_model::config::Config;
+use basilbay_model::id::{DomainId, KindId, ServiceId};
+
+/// Result of reading a deployment.
+pub type Result<T> = anyhow::Result<T>;
+
+/// Spread of the logarithm of service times: the slowest of 100 takes about 2.5 medians.
+const SIGMA: f64 = 0.4;
+
+/// A service, its workers, and its kinds with their share of calls and median in ms.
+pub type Row<'a> = (&'a str, usize, &'a [(&'a str, f64, u64)]);
+
+/// Caroni's sizes of today. The service times are ours: the operators state none.
+const CARONI: [Row<'_>; 3] = [
+    ("fitfinder", 6, &[("fit-check", 1.0, 50)]),
+    ("slotdesk", 4, &[("slots", 0.7, 40), ("booking", 0.3, 100)]),
+    (
+        "paydesk",
+        4,
+        &[("payment", 0.6, 120), ("payment-status", 0.4, 120)],
+    ),
+];
+
+/// Ozolini's sizes of today, with service times of ours.
+const OZOLINI: [Row<'_>; 3] = [
+    ("rota-desk", 6, &[("rota", 1.0, 50)]),
+    (
+        "orders-house",
+        4,
+        &[("order", 0.5, 100), ("order-status", 0.5, 100)],
+    ),
+    (
+        "press-room",
+        4,
+        &[("batch", 0.4, 120), ("batch-status", 0.6, 120)],
+    ),
+];
+
+/// How often a kind of request comes and how long it runs on a warm, quiet target.
+///
+/// Kinds with the same path share a service time, since a target tells kinds apart by path.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// The kind.
+    pub kind: KindId,
+    /// Its part of the calls of the service, relative to the other kinds.
+    pub share: f64,
+    /// Its service time.
+    pub time: ServiceTime,
+}
+
+/// The workers of a service.
+#[derive(Clone, Debug)]
+pub struct Staff {
+    /// The service.
+    pub service: ServiceId,
+    /// Number of targets, each with a daemon.
+    pub workers: usize,
+    /// Service time of each kind.
+    pub work: Vec<Work>,
+}
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The first configuration as published.
+    pub text: Arc<str>,
+    /// The same, parsed.
+    pub config: Arc<Config>,
+    /// Services, sorted by id.
+    pub staff: Vec<Staff>,
+    /// Time for which a probe occupies a slot.
+    pub probe_cost: Duration,
+    /// Time that a target takes to open a connection.
+    pub open_delay: Duration,
+    /// Whether targets start cold.
+    pub starts_cold: bool,
+}
+
+impl Deployment {
+    /// A built-in deployment: `caroni` or `ozolini`.
+    pub fn named(name: &str) -> Result<Self> {
+        match name {
+            "caroni" => Self::new(name, include_str!("../../../examples/caroni.ini"), &CARONI),
+            "ozolini" => Self::new(
+                name,
+                include_str!("../../../examples/ozolini.ini"),
+                &OZOLINI,
+            ),
+            _ => anyhow::bail!("unknown deployment '{name}'; known are caroni, ozolini"),
+        }
+    }
+
+    /// A deployment from a configuration, and the workers and kinds of each service.
+    pub fn new(name: &str, text: &str, rows: &[Row<'_>]) -> Result<Self> {
+        let config = Config::parse(name, text)?;
+        let mut staff = Vec::new();
+        for (id, workers, kinds) in rows {
+            let service = config
+                .service(id)
+                .with_context(|| format!("{name}: no service {id}"))?;
+            let work = kinds.iter().map(|(kind, share, median_ms)| Work {
+                kind: KindId::from(*kind),
+                share: *share,
+                time: ServiceTime {
+                    median_us: median_ms * 1000,
+                    sigma: SIGMA,
+                },
+            });
+            staff.push(Staff {
+                service: service.id.clone(),
+                workers: *workers,
+                work: work.collect(),
+            });
+        }
+        staff.sort_by(|left, right| left.service.cmp(&right.service));
+        Ok(Self {
+            name: Arc::from(name),
+            text: Arc::from(text),
+            config: Arc::new(config),
+            staff,
+            probe_cost: Duration::from_millis(6),
+            open_delay: Duration::from_millis(1),
+            starts_cold: false,
+        })
+    }
+
+    /// The same with other worker counts, one for each service in the order of their ids.
+    pub fn with_workers(mut self, workers: &[usize]) -> Self {
+        for (staff, workers) in self.staff.iter_mut().zip(workers) {
+            staff.workers = *workers;
+        }
+        self
+    }
+
+    /// The same with one policy for all services.
+    pub fn with_policy(mut self, policy: &str) -> Result<Self> {
+        let mut text = self.text.to_string();
+        for staff in &self.staff {
+            text = set(
+                &text,
+                &format!("service {}", staff.service),
+                "policy",
+                policy,
+            );
+        }
+        self.config = Arc::new(Config::parse(&self.name, &text)?);
+        self.text = Arc::from(text);
+        Ok(self)
+    }
+
+    /// Ids of the failure domains.
+    pub fn domains(&self) -> Vec<DomainId> {
+        let domains = self.config.domains.iter();
+        domains.map(|domain| domain.id.clone()).collect()
+    }
+
+    /// The workers of a service.
+    pub fn staff(&self, service: &str) -> Option<&Staff> {
+        self.staff.iter().find(|staff| &*staff.service == service)
+    }
+
+    /// Requests that a service can run in a second: workers times slots by mean service time.
+    pub fn capacity(&self, service: &str) -> f64 {
+        let Some(staff) = self.staff(service) else {
+            return 0.0;
+        };
+        let slots = self
+            .config
+            .service(service)
+            .map_or(0, |service| service.contract.slots);
+        let shares: f64 = staff.work.iter().map(|work| work.share).sum();
+        let total = staff
+            .work
+            .iter()
+            .map(|work| work.share * mean_seconds(work.time));
+        let mean = total.sum::<f64>() / shares;
+        staff.workers as f64 * f64::from(slots) / mean
+    }
+}
+
+/// Mean of a log-normal service time.
+pub fn mean_seconds(time: ServiceTime) -> f64 {
+    time.median_us as f64 / 1e6 * (time.sigma * time.sigma / 2.0).exp()
+}
+
+/// Sets a key in a section of an INI text; the section must exist.
+pub fn set(text: &str, section: &str, key: &str, value: &str) -> String {
+    let header = format!("[{section}]");
+    let mut lines = Vec::new();
+    let mut inside = false;
+    for line in text.lines() {
+        let trimmed = line.trim();
+        if trimmed.starts_with('[') {
+            inside = trimmed == header;
+            lines.push(line.to_owned());
+            if inside {
+                lines.push(format!("{key} = {value}"));
+            }
+            continue;
+        }
+        let name = trimmed.split('=').next().unwrap_or_default().trim();
+        if !(inside && name == key) {
+            lines.push(line.to_owned());
+        }
+    }
+    lines.push(String::new());
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/basilbay_load/src/fleet.rs
@@ -0,0 +1,352 @@
+//! A whole fleet as real processes on loopback: the platform, the targets and the daemons.
+//!
+//! Dropping a [`Fleet`] ends every process that it started, by id.
+
+pub mod event;
+pub mod port;
+pub mod process;
+mod start;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, ensure};
+use basilbay_fakes::client::{request, send};
+use basilbay_fakes::clock;
+use basilbay_fakes::platform::fault::Faults;
+use basilbay_fakes::targets::account::{Run, Violation};
+use basilbay_fakes::targets::fault::Change;
+use basilbay_model::config::Config;
+use basilbay_model::id::{DomainId, InstanceId, ServiceId, Version};
+use bytes::Bytes;
+use hyper::Method;
+use tempfile::TempDir;
+
+use crate::deployment::{self, Deployment};
+use event::{Event, Fact};
+use process::Process;
+
+/// Result of driving a fleet.
+pub type Result<T> = anyhow::Result<T>;
+
+/// Time in which a whole fleet must serve; debug builds on a busy machine take seconds.
+const START_PATIENCE: Duration = Duration::from_secs(20);
+
+/// Time that daemons have to finish running requests when the fleet stops.
+const STOP_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Age of a daemon from which on it may run keys: the grace of the design plus a margin.
+const KEY_AGE: Duration = Duration::from_millis(4_500);
+
+/// A daemon and the target beside it.
+#[derive(Debug)]
+pub struct Member {
+    /// Id of this run of the instance.
+    pub id: InstanceId,
+    /// Id of the target in the stand-in; it outlives the daemon.
+    pub target: InstanceId,
+    /// Service.
+    pub service: ServiceId,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for daemons.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address of the target.
+    pub address: SocketAddr,
+    process: Option<Process>,
+    starts: u32,
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What it consists of.
+    pub deployment: Deployment,
+    /// Daemons, by service and then in the order of their start.
+    pub members: Vec<Member>,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Control address of the targets.
+    pub control: SocketAddr,
+    /// What was done to the fleet.
+    pub events: Vec<Event>,
+    text: String,
+    version: Version,
+    daemon: PathBuf,
+    started: Instant,
+    /// Ended before the folder with their settings goes.
+    servers: Vec<Process>,
+    folder: TempDir,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every daemon serves.
+    pub async fn start(deployment: Deployment) -> Result<Self> {
+        let mut fleet = start::fleet(deployment)?;
+        fleet.ready().await?;
+        Ok(fleet)
+    }
+
+    /// Addresses for callers, of all daemons.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.members.iter().map(|member| member.callers).collect()
+    }
+
+    /// Ids of all processes that run.
+    pub fn process_ids(&self) -> Vec<u32> {
+        let daemons = self
+            .members
+            .iter()
+            .filter_map(|member| member.process.as_ref());
+        daemons.chain(&self.servers).map(Process::id).collect()
+    }
+
+    /// Process id of a daemon.
+    pub fn process_id(&self, index: usize) -> Option<u32> {
+        self.members.get(index)?.process.as_ref().map(Process::id)
+    }
+
+    /// Waits until every daemon that runs serves.
+    pub async fn ready(&mut self) -> Result<()> {
+        let until = Instant::now() + START_PATIENCE;
+        for index in 0..self.members.len() {
+            while !self.serves(index).await {
+                self.check_alive(index)?;
+                let id = &self.members[index].id;
+                ensure!(Instant::now() < until, "{id} does not serve in time");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until the daemons are old enough to be the homes of keys.
+    pub async fn ready_for_keys(&self) {
+        tokio::time::sleep_until((self.started + KEY_AGE).into()).await;
+    }
+
+    fn check_alive(&mut self, index: usize) -> Result<()> {
+        let log = self.log(index);
+        let member = &mut self.members[index];
+        let is_running = member.process.as_mut().is_some_and(Process::is_running);
+        ensure!(
+            is_running,
+            "{} ended: {}",
+            member.id,
+            std::fs::read_to_string(log)?
+        );
+        Ok(())
+    }
+
+    /// Whether a daemon has a configuration: it refuses a call that is too deep only then.
+    async fn serves(&self, index: usize) -> bool {
+        let member = &self.members[index];
+        let Some(service) = self.deployment.config.service(&member.service) else {
+            return false;
+        };
+        let Some(kind) = service.kinds.first() else {
+            return false;
+        };
+        let method = kind.methods.first().and_then(|method| method.parse().ok());
+        let mut probe = request(method.unwrap_or(Method::POST), &kind.path, "");
+        for (name, value) in [("host", &*member.service), ("basilbay-depth", "12")] {
+            probe = basilbay_fakes::client::with_header(probe, name, value);
+        }
+        let answer =
+            tokio::time::timeout(Duration::from_secs(1), send(member.callers, probe)).await;
+        matches!(answer, Ok(Ok(answer)) if answer.status().as_u16() == 508)
+    }
+
+    /// File with the log lines of a daemon.
+    pub fn log(&self, index: usize) -> PathBuf {
+        self.folder.path().join(format!("daemon-{index}.log"))
+    }
+
+    /// Kills a daemon (SIGKILL).
+    pub fn kill(&mut self, index: usize) {
+        self.note(Fact::Killed(self.members[index].id.clone()));
+        if let Some(mut process) = self.members[index].process.take() {
+            process.kill();
+        }
+    }
+
+    /// Asks a daemon to stop (SIGTERM) and does not wait for it.
+    pub fn terminate(&mut self, index: usize) {
+        self.note(Fact::Leaving(self.members[index].target.clone()));
+        if let Some(process) = &mut self.members[index].process {
+            process.terminate();
+        }
+    }
+
+    /// Pauses a daemon (SIGSTOP).
+    pub fn pause(&mut self, index: usize) {
+        self.note(Fact::Paused(self.members[index].id.clone()));
+        if let Some(process) = &mut self.members[index].process {
+            process.pause();
+        }
+    }
+
+    /// Resumes a daemon (SIGCONT).
+    pub fn resume(&mut self, index: usize) {
+        self.note(Fact::Resumed(self.members[index].id.clone()));
+        if let Some(process) = &mut self.members[index].process {
+            process.resume();
+        }
+    }
+
+    /// Ends a daemon and starts another under a new id on the same ports.
+    pub async fn restart(&mut self, index: usize) -> Result<()> {
+        if let Some(mut process) = self.members[index].process.take() {
+            process.kill();
+        }
+        let old = self.members[index].id.clone();
+        self.members[index].starts += 1;
+        let member = &mut self.members[index];
+        member.id = Arc::from(format!("{}-{}", member.target, member.starts));
+        let id = member.id.clone();
+        self.start_daemon(index)?;
+        self.publish_instances().await?;
+        self.note(Fact::Restarted { old, new: id });
+        Ok(())
+    }
+
+    /// Publishes a configuration text.
+    pub async fn publish(&mut self, text: &str) -> Result<Version> {
+        let body = self
+            .put(self.platform, "/fake/config", text.to_owned())
+            .await?;
+        text.clone_into(&mut self.text);
+        self.version = std::str::from_utf8(&body)?.trim().parse()?;
+        Ok(self.version)
+    }
+
+    /// Sets keys of the configuration in force and publishes it under the next version.
+    pub async fn change(&mut self, changes: &[(&str, &str, &str)]) -> Result<Version> {
+        let next = (self.version + 1).to_string();
+        let mut text = deployment::set(&self.text, "basilbay", "version", &next);
+        for (section, key, value) in changes {
+            text = deployment::set(&text, section, key, value);
+        }
+        Config::parse("changed", &text)?;
+        self.publish(&text).await
+    }
+
+    /// Takes a failure domain out.
+    pub async fn domain_out(&mut self, domain: &DomainId) -> Result<()> {
+        let section = format!("domain {domain}");
+        self.change(&[(&section, "state", "out")]).await?;
+        self.note(Fact::DomainOut(domain.clone()));
+        Ok(())
+    }
+
+    /// Brings a failure domain back.
+    pub async fn domain_in(&mut self, domain: &DomainId) -> Result<()> {
+        let section = format!("domain {domain}");
+        self.note(Fact::DomainIn(domain.clone()));
+        self.change(&[(&section, "state", "in")]).await?;
+        Ok(())
+    }
+
+    /// Sets faults of the platform.
+    pub async fn platform_faults(&mut self, faults: &Faults) -> Result<()> {
+        let body = serde_json::to_vec(faults)?;
+        self.put(self.platform, "/fake/faults", body).await?;
+        Ok(())
+    }
+
+    /// Changes the behaviour of one target.
+    pub async fn change_target(&mut self, index: usize, change: &Change) -> Result<()> {
+        let target = self.members[index].target.clone();
+        if change.drain == Some(true) {
+            self.note(Fact::Leaving(target.clone()));
+        }
+        let body = serde_json::to_vec(change)?;
+        self.put(self.control, &format!("/fake/targets/{target}"), body)
+            .await?;
+        Ok(())
+    }
+
+    /// Changes the behaviour of all targets.
+    pub async fn change_targets(&self, change: &Change) -> Result<()> {
+        let body = serde_json::to_vec(change)?;
+        self.put(self.control, "/fake/state", body).await?;
+        Ok(())
+    }
+
+    /// Marks an instance as leaving in the instance list.
+    pub async fn list_leaving(&mut self, index: usize) -> Result<()> {
+        let id = self.members[index].id.clone();
+        self.note(Fact::Leaving(self.members[index].target.clone()));
+        let path = format!("/fake/instances/{id}/leaving");
+        let call = request(Method::POST, &path, "");
+        let answer = send(self.platform, call).await?;
+        ensure!(answer.status().is_success(), "{path}: {}", answer.status());
+        Ok(())
+    }
+
+    /// What the targets ran since the last call of [`Fleet::clear_runs`].
+    pub async fn runs(&self) -> Result<Vec<Run>> {
+        let answer = send(self.control, request(Method::GET, "/fake/runs", "")).await?;
+        let text = std::str::from_utf8(answer.body())?;
+        let runs = text.lines().map(serde_json::from_str);
+        runs.collect::<serde_json::Result<_>>().context("runs")
+    }
+
+    /// Limits of the targets that were broken.
+    pub async fn violations(&self) -> Result<Vec<Violation>> {
+        let answer = send(self.control, request(Method::GET, "/fake/violations", "")).await?;
+        serde_json::from_slice(answer.body()).context("violations")
+    }
+
+    /// Forgets runs, violations and events.
+    pub async fn clear_runs(&mut self) -> Result<()> {
+        send(self.control, request(Method::DELETE, "/fake/runs", "")).await?;
+        self.events.clear();
+        Ok(())
+    }
+
+    /// Stops everything in order; names the daemons that did not stop as asked.
+    pub fn stop(mut self) -> Vec<InstanceId> {
+        let mut killed = Vec::new();
+        for member in &mut self.members {
+            if let Some(process) = &mut member.process {
+                process.resume();
+                process.terminate();
+            }
+        }
+        for member in &mut self.members {
+            let process = member.process.take();
+            if process.is_some_and(|mut process| !process.end(STOP_PATIENCE)) {
+                killed.push(member.id.clone());
+            }
+        }
+        for process in &mut self.servers {
+            process.stop(STOP_PATIENCE);
+        }
+        killed
+    }
+
+    fn note(&mut self, fact: Fact) {
+        self.events.push(Event {
+            at_us: clock::micros(),
+            fact,
+        });
+    }
+
+    async fn put(&self, to: SocketAddr, path: &str, body: impl Into<Bytes>) -> Result<Bytes> {
+        let answer = send(to, request(Method::PUT, path, body)).await?;
+        let text = String::from_utf8_lossy(answer.body());
+        ensure!(
+            answer.status().is_success(),
+            "{path}: {} {text}",
+            answer.status()
+        );
+        Ok(answer.into_body())
+    }
+}
--- /dev/null
+++ b/crates/basilbay_load/src/fleet/start.rs
@@ -0,0 +1,228 @@
+//! Starts the processes of a fleet with generated files in a temporary folder.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use basilbay_fakes::client::{request, send};
+use basilbay_fakes::platform::list::Entry;
+use basilbay_fakes::targets::spec::{Cold, Kind, Target};
+use basilbay_model::roster::State;
+use hyper::Method;
+
+use super::process::{Process, beside};
+use super::{Fleet, Member, Result, port};
+use crate::deployment::{Deployment, Staff};
+
+/// Age of the first entries of the instance list, so that keys have homes from the start.
+const LISTED_AGO: Duration = Duration::from_secs(60);
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+pub(super) fn fleet(deployment: Deployment) -> Result<Fleet> {
+    let folder = tempfile::Builder::new()
+        .prefix("basilbay-load-")
+        .tempdir()?;
+    let mut members = plan(&deployment)?;
+    let fakes = beside("basilbay-fakes")?;
+    let targets = start_targets(&fakes, folder.path(), &deployment, &mut members)?;
+    let platform = start_platform(&fakes, folder.path(), &deployment, &members)?;
+    let mut fleet = Fleet {
+        text: deployment.text.to_string(),
+        version: deployment.config.version,
+        deployment,
+        members,
+        platform: platform.1,
+        control: targets.1,
+        events: Vec::new(),
+        daemon: beside("basilbayd")?,
+        started: Instant::now(),
+        servers: vec![targets.0, platform.0],
+        folder,
+    };
+    for index in 0..fleet.members.len() {
+        fleet.start_daemon(index)?;
+    }
+    Ok(fleet)
+}
+
+fn plan(deployment: &Deployment) -> Result<Vec<Member>> {
+    let workers: usize = deployment.staff.iter().map(|staff| staff.workers).sum();
+    let mut ports = port::free(3 * workers)?.into_iter();
+    let mut next = || ports.next().context("too few ports");
+    let domains = deployment.domains();
+    let mut members = Vec::new();
+    for staff in &deployment.staff {
+        for worker in 0..staff.workers {
+            let id = Arc::<str>::from(format!("{}-{}", staff.service, worker + 1));
+            let domain = &domains[members.len() % domains.len()];
+            members.push(Member {
+                id: id.clone(),
+                target: id,
+                service: staff.service.clone(),
+                domain: domain.clone(),
+                callers: next()?,
+                peers: next()?,
+                admin: next()?,
+                address: ANY,
+                process: None,
+                starts: 0,
+            });
+        }
+    }
+    Ok(members)
+}
+
+fn target(deployment: &Deployment, staff: &Staff, member: &Member, seed: u64) -> Result<Target> {
+    let service = deployment
+        .config
+        .service(&staff.service)
+        .context("staff of an unknown service")?;
+    let kinds = staff.work.iter().filter_map(|work| {
+        let kind = service.kinds.iter().find(|kind| kind.id == work.kind)?;
+        Some(Kind {
+            path: kind.path.clone(),
+            service_time: work.time,
+        })
+    });
+    let contract = &service.contract;
+    let mut target = Target::new(&member.target, &member.service, 1);
+    target.slots = contract.slots;
+    target.connections = contract.connections;
+    target.kinds = kinds.collect();
+    target.cold = Cold {
+        slots: contract.cold_slots,
+        warm_after: if deployment.starts_cold {
+            contract.warm_after
+        } else {
+            0
+        },
+        ..Cold::default()
+    };
+    target.probe_cost_us = deployment.probe_cost.as_micros() as u64;
+    target.open_delay_us = deployment.open_delay.as_micros() as u64;
+    target.entry = Some(member.callers);
+    target.seed = seed;
+    Ok(target)
+}
+
+fn start_targets(
+    fakes: &Path,
+    folder: &Path,
+    deployment: &Deployment,
+    members: &mut [Member],
+) -> Result<(Process, SocketAddr)> {
+    let mut targets = Vec::new();
+    for (index, member) in members.iter().enumerate() {
+        let staff = deployment.staff(&member.service).context("no staff")?;
+        targets.push(target(deployment, staff, member, index as u64 + 1)?);
+    }
+    let spec = folder.join("targets.json");
+    std::fs::write(&spec, serde_json::to_vec_pretty(&targets)?)?;
+    let arguments = ["targets", "--spec", &spec.display().to_string()];
+    let mut process = Process::start(fakes, &arguments, &folder.join("targets.log"))?;
+    let lines = process.lines(1 + members.len())?;
+    let mut control = None;
+    for line in &lines {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[..] {
+            ["control", address] => control = Some(address.parse()?),
+            ["target", id, address] => {
+                let member = members.iter_mut().find(|member| &*member.target == id);
+                member.context("unknown target")?.address = address.parse()?;
+            }
+            _ => anyhow::bail!("unexpected output of the targets: {line}"),
+        }
+    }
+    Ok((process, control.context("no control address")?))
+}
+
+fn entries(members: &[Member]) -> Vec<Entry> {
+    let entries = members.iter().map(|member| Entry {
+        id: member.id.clone(),
+        service: member.service.clone(),
+        domain: member.domain.clone(),
+        region: Arc::from(""),
+        peer: member.peers,
+        admin: member.admin,
+        listen: member.callers,
+        state: State::Live,
+        listed_ago_ms: if member.starts == 0 {
+            LISTED_AGO.as_millis() as u64
+        } else {
+            0
+        },
+    });
+    entries.collect()
+}
+
+fn start_platform(
+    fakes: &Path,
+    folder: &Path,
+    deployment: &Deployment,
+    members: &[Member],
+) -> Result<(Process, SocketAddr)> {
+    let config = folder.join("config.ini");
+    std::fs::write(&config, &*deployment.text)?;
+    let list = folder.join("instances.json");
+    std::fs::write(&list, serde_json::to_vec_pretty(&entries(members))?)?;
+    let config = config.display().to_string();
+    let list = list.display().to_string();
+    let arguments = [
+        "platform",
+        "--listen",
+        "127.0.0.1:0",
+        "--config",
+        &config,
+        "--instances",
+        &list,
+    ];
+    let mut process = Process::start(fakes, &arguments, &folder.join("platform.log"))?;
+    let lines = process.lines(1)?;
+    let line = lines.first().context("no output")?;
+    let address = line.strip_prefix("platform ").context("no address")?;
+    Ok((process, address.parse()?))
+}
+
+impl Fleet {
+    /// Starts the daemon of a member.
+    pub(super) fn start_daemon(&mut self, index: usize) -> Result<()> {
+        let file = self.folder.path().join(format!("daemon-{index}.ini"));
+        std::fs::write(&file, self.settings(index))?;
+        let file = file.display().to_string();
+        let log = self.log(index);
+        let process = Process::start_quiet(&self.daemon, &["--settings", &file], &log)?;
+        self.members[index].process = Some(process);
+        Ok(())
+    }
+
+    fn settings(&self, index: usize) -> String {
+        let member = &self.members[index];
+        format!(
+            "[instance]\nid = {}\nservice = {}\ndomain = {}\ntarget = {}\n\n\
+             [listen]\ncallers = {}\npeers = {}\nadmin = {}\n\n\
+             [platform]\nconfig = {}\ninstances = {}\n\n\
+             [log]\nfilter = warn\n",
+            member.id,
+            member.service,
+            member.domain,
+            member.address,
+            member.callers,
+            member.peers,
+            member.admin,
+            self.platform,
+            self.platform,
+        )
+    }
+
+    /// Puts the members that run into the instance list.
+    pub(super) async fn publish_instances(&self) -> Result<()> {
+        let running = entries(&self.members);
+        let body = serde_json::to_vec(&running)?;
+        let answer = send(self.platform, request(Method::PUT, "/fake/instances", body)).await?;
+        anyhow::ensure!(answer.status().is_success(), "{}", answer.status());
+        Ok(())
+    }
+}
--- a/crates/basilbay_load/src/main.rs
+++ b/crates/basilbay_load/src/main.rs
@@ -1,3 +1,7 @@
-//! Placeholder.
+//! `basilbay-load`: load, scenarios and reports.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    basilbay_load::command::run()
+}
--- /dev/null
+++ b/crates/basilbay_load/src/table.rs
@@ -0,0 +1,89 @@
+//! Results as tables on the screen.
+
+use tabled::builder::Builder;
+use tabled::settings::object::{Columns, Object, Rows};
+use tabled::settings::{Alignment, Style};
+
+use crate::account::Account;
+use crate::account::row::Row;
+
+/// Lays out a header and rows; the first column is text, the others are numbers.
+pub fn lay_out(header: &[&str], rows: &[Vec<String>]) -> String {
+    let mut builder = Builder::default();
+    builder.push_record(header.iter().copied());
+    for row in rows {
+        builder.push_record(row);
+    }
+    let numbers = Columns::new(1..).intersect(Rows::new(0..));
+    let mut table = builder.build();
+    table.with(Style::psql());
+    table.modify(numbers, Alignment::right());
+    table.to_string()
+}
+
+/// A latency in ms.
+pub fn ms(value: f64) -> String {
+    format!("{value:.1}")
+}
+
+fn row(row: &Row) -> Vec<String> {
+    vec![
+        row.name.to_string(),
+        row.sent.to_string(),
+        row.answered.to_string(),
+        row.late.to_string(),
+        row.refused.to_string(),
+        row.unknown.to_string(),
+        row.failed.to_string(),
+        row.lost.to_string(),
+        format!("{:.2}%", row.goodput() * 100.0),
+        ms(row.latency.p50),
+        ms(row.latency.p99),
+    ]
+}
+
+/// What callers saw, and the broken rules.
+pub fn account(account: &Account) -> String {
+    let header = [
+        "service", "sent", "answered", "late", "refused", "unknown", "failed", "lost", "weighted",
+        "p50 ms", "p99 ms",
+    ];
+    let mut rows: Vec<Vec<String>> = account.services.iter().map(row).collect();
+    rows.push(row(&account.all));
+    let mut text = lay_out(&header, &rows);
+    text.push('\n');
+    text.push_str(&breaches(account));
+    text
+}
+
+/// One line on each broken rule, or one that there is none.
+pub fn breaches(account: &Account) -> String {
+    let mut text = String::new();
+    for (name, breach) in account.breaches.named() {
+        if breach.count > 0 {
+            let examples = breach.examples.join(", ");
+            text.push_str(&format!(
+                "VIOLATION {name}: {} ({examples})\n",
+                breach.count
+            ));
+        }
+    }
+    if text.is_empty() {
+        text.push_str("violations: none\n");
+    }
+    if let Some(latest) = account.latest_after_out_ms {
+        text.push_str(&format!(
+            "last new work {latest:.0} ms after the domain was out (limit 4000)\n"
+        ));
+    }
+    if let Some(latest) = account.latest_after_leaving_ms {
+        text.push_str(&format!(
+            "last new work {latest:.0} ms after leaving began (limit 2000)\n"
+        ));
+    }
+    let [p50, p99, max] = account.lag_us;
+    text.push_str(&format!(
+        "arrivals sent late by: p50 {p50} us, p99 {p99} us, max {max} us\n"
+    ));
+    text
+}
