--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -1,52 +1,306 @@
 //! Waits for the gate of the own target.
+//!
+//! The gate decides; this module keeps the tasks that wait for its decisions and gives out a
+//! [`Slot`] for each request that may run. A slot that is dropped counts as cancelled, so that no
+//! path through the daemon can lose one.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, oneshot};
 
-use basilbay_wire::load::Load;
+use basilbay_admission::gate::{Action, Closed, Completion, Decision, Gate, Place, Start};
+use basilbay_admission::probe::Report;
+use basilbay_admission::request::{RequestId, Ticket};
+use basilbay_model::service::Contract;
+use basilbay_wire::load::{Load, State};
 use basilbay_wire::problem::{Cause, Problem};
 
+/// Result of asking for a slot.
+pub type Result<T> = std::result::Result<T, Problem>;
+
+/// Time between two looks at the queue while requests wait.
+const TICK: Duration = Duration::from_millis(2);
+
+/// Time for which a cancelled request keeps its slot: the target needs a moment to notice that
+/// its connection was closed, and runs the request until then.
+const CANCEL_GRACE: Duration = Duration::from_millis(5);
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand {
+    /// How much it counts.
+    pub weight: u32,
+    /// When its time is up.
+    pub deadline: Instant,
+    /// Whether it may crash the target.
+    pub suspect: bool,
+    /// Hash that tells it apart when the target crashes.
+    pub fingerprint: u64,
+}
+
+struct Waiter {
+    id: RequestId,
+    sender: oneshot::Sender<std::result::Result<(), Cause>>,
+}
+
+struct Desk {
+    gate: Gate,
+    /// Sorted by id, since ids only grow.
+    waiters: Vec<Waiter>,
+    running: Vec<(RequestId, u64)>,
+    next: RequestId,
+    completed: u64,
+    refused: u64,
+}
+
 /// Admission to the own target.
-#[derive(Debug)]
 pub struct Admission {
-    slots: Arc<Semaphore>,
-    sequence: Mutex<u64>,
+    desk: Mutex<Desk>,
+    queued: Notify,
 }
 
-/// The right to run one request; dropping it gives the slot back.
-#[derive(Debug)]
-pub struct Slot {
-    _permit: OwnedSemaphorePermit,
+impl std::fmt::Debug for Admission {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.debug_struct("Admission").finish_non_exhaustive()
+    }
+}
+
+/// Counts of a daemon's life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests that ran on the target.
+    pub completed: u64,
+    /// Requests that were refused.
+    pub refused: u64,
 }
 
 impl Admission {
-    /// Admission with a number of slots.
-    pub fn new(slots: usize) -> Self {
-        Self {
-            slots: Arc::new(Semaphore::new(slots)),
-            sequence: Mutex::new(0),
-        }
+    /// Admission to a target of which only the contract is known.
+    pub fn new(contract: &Contract, start: Start, now: Instant) -> Arc<Self> {
+        Arc::new(Self {
+            desk: Mutex::new(Desk {
+                gate: Gate::new(contract, start, now),
+                waiters: Vec::new(),
+                running: Vec::new(),
+                next: 0,
+                completed: 0,
+                refused: 0,
+            }),
+            queued: Notify::new(),
+        })
     }
 
-    /// Waits for a slot.
-    pub async fn enter(&self, deadline: Instant) -> Result<Slot, Problem> {
-        let permit = self.slots.clone().acquire_owned();
-        match tokio::time::timeout_at(deadline.into(), permit).await {
-            Ok(Ok(permit)) => Ok(Slot { _permit: permit }),
-            _ => Err(Problem::not_run(Cause::NoCapacity, "no slot in time")),
+    /// Waits until the request may run.
+    pub async fn enter(self: &Arc<Self>, demand: Demand) -> Result<Slot> {
+        let (id, receiver) = {
+            let mut desk = self.lock();
+            let id = desk.next;
+            desk.next += 1;
+            let ticket = Ticket {
+                id,
+                weight: demand.weight,
+                deadline: demand.deadline,
+                suspect: demand.suspect,
+            };
+            let decision = desk.gate.offer(ticket, Instant::now());
+            desk.act();
+            match decision {
+                Decision::Run => return Ok(self.slot(&mut desk, id, demand.fingerprint)),
+                Decision::Refuse(cause) => return Err(desk.refuse(cause)),
+                Decision::Wait => {}
+            }
+            let (sender, receiver) = oneshot::channel();
+            desk.waiters.push(Waiter { id, sender });
+            (id, receiver)
+        };
+        self.queued.notify_one();
+        let mut waiting = Waiting {
+            admission: self,
+            id,
+            is_over: false,
+        };
+        let started = receiver.await;
+        let mut desk = self.lock();
+        waiting.is_over = true;
+        match started {
+            Ok(Ok(())) => Ok(self.slot(&mut desk, id, demand.fingerprint)),
+            Ok(Err(cause)) => Err(desk.refuse(cause)),
+            Err(_) => Err(desk.refuse(Cause::NoCapacity)),
         }
     }
 
     /// Load of the target.
     pub fn load(&self) -> Load {
-        let mut sequence: MutexGuard<'_, u64> =
-            self.sequence.lock().unwrap_or_else(PoisonError::into_inner);
-        *sequence += 1;
-        Load {
-            sequence: *sequence,
-            ..Load::default()
+        self.lock().gate.load()
+    }
+
+    /// What happens to new work.
+    pub fn state(&self) -> State {
+        self.lock().gate.state()
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> Counts {
+        let desk = self.lock();
+        Counts {
+            completed: desk.completed,
+            refused: desk.refused,
+        }
+    }
+
+    /// Takes another contract.
+    pub fn set_contract(&self, contract: &Contract) {
+        let mut desk = self.lock();
+        desk.gate.set_contract(contract, Instant::now());
+        desk.act();
+    }
+
+    /// Sets or clears a reason for taking no new work.
+    pub fn set_state(&self, reason: Closed, holds: bool) {
+        let mut desk = self.lock();
+        desk.gate.set_state(reason, holds);
+        desk.act();
+    }
+
+    /// Holds a report of the target against what the gate knows.
+    pub fn observe(&self, report: Report) {
+        let mut desk = self.lock();
+        desk.gate.observe_report(report, Instant::now());
+        desk.act();
+    }
+
+    /// Fingerprints of the requests on the target.
+    pub fn running(&self) -> Vec<u64> {
+        let desk = self.lock();
+        desk.running
+            .iter()
+            .map(|(_, fingerprint)| *fingerprint)
+            .collect()
+    }
+
+    /// Whether nothing runs or waits.
+    pub fn is_idle(&self) -> bool {
+        self.lock().gate.is_idle()
+    }
+
+    /// Lets the gate drop waiting requests whose time is up, for as long as the daemon runs.
+    pub async fn drive(self: Arc<Self>) {
+        loop {
+            self.queued.notified().await;
+            while self.tick() {
+                tokio::time::sleep(TICK).await;
+            }
+        }
+    }
+
+    fn tick(&self) -> bool {
+        let mut desk = self.lock();
+        desk.gate.tick(Instant::now());
+        desk.act();
+        desk.gate.queued() > 0
+    }
+
+    fn slot(self: &Arc<Self>, desk: &mut Desk, id: RequestId, fingerprint: u64) -> Slot {
+        desk.running.push((id, fingerprint));
+        Slot {
+            admission: self.clone(),
+            id,
+            is_over: false,
+        }
+    }
+
+    fn complete(&self, id: RequestId, completion: Completion) {
+        let mut desk = self.lock();
+        desk.running.retain(|(running, _)| *running != id);
+        if matches!(completion, Completion::Answered | Completion::Failed) {
+            desk.completed += 1;
+        }
+        desk.gate.complete(id, completion, Instant::now());
+        desk.act();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Desk> {
+        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Desk {
+    /// Tells the waiting tasks what became of their requests.
+    fn act(&mut self) {
+        let actions: Vec<Action> = self.gate.drain_actions().collect();
+        for action in actions {
+            let (id, result) = match action {
+                Action::Start(id) => (id, Ok(())),
+                Action::Refuse(id, cause) => (id, Err(cause)),
+            };
+            let Ok(index) = self.waiters.binary_search_by_key(&id, |waiter| waiter.id) else {
+                continue;
+            };
+            // A task that went away meanwhile notices by itself and cancels.
+            let _ = self.waiters.remove(index).sender.send(result);
+        }
+    }
+
+    fn refuse(&mut self, cause: Cause) -> Problem {
+        self.refused += 1;
+        Problem::not_run(cause, format!("{:?} at the target", self.gate.state()))
+    }
+}
+
+/// A request in the queue; dropping it takes the request out.
+struct Waiting<'a> {
+    admission: &'a Arc<Admission>,
+    id: RequestId,
+    is_over: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let mut desk = self.admission.lock();
+        desk.waiters.retain(|waiter| waiter.id != self.id);
+        let now = Instant::now();
+        if desk.gate.cancel(self.id, now) == Some(Place::Running) {
+            // It was started but its task never learned of it, so no byte was sent.
+            desk.gate.complete(self.id, Completion::Cancelled, now);
+        }
+        desk.act();
+    }
+}
+
+/// The right to run one request on the target.
+#[derive(Debug)]
+pub struct Slot {
+    admission: Arc<Admission>,
+    id: RequestId,
+    is_over: bool,
+}
+
+impl Slot {
+    /// Gives the slot back and says how the request ended.
+    pub fn finish(mut self, completion: Completion) {
+        self.is_over = true;
+        self.admission.complete(self.id, completion);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
         }
+        let admission = self.admission.clone();
+        let id = self.id;
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            admission.complete(id, Completion::Cancelled);
+            return;
+        };
+        runtime.spawn(async move {
+            tokio::time::sleep(CANCEL_GRACE).await;
+            admission.complete(id, Completion::Cancelled);
+        });
     }
 }
--- a/crates/basilbay_daemon/src/body.rs
+++ b/crates/basilbay_daemon/src/body.rs
@@ -2,12 +2,15 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Empty, Full};
+use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
+use basilbay_wire::problem::{Cause, Problem};
+
 /// A body on its way to a caller, a daemon or a target.
 pub type Body = UnsyncBoxBody<Bytes, Error>;
 
@@ -58,6 +61,24 @@
         Ok(Self::Kept(kept.freeze()))
     }
 
+    /// Reads a body as [`Received::read`] does, but no longer than until the deadline.
+    pub async fn read_until(
+        incoming: Incoming,
+        deadline: Instant,
+    ) -> std::result::Result<Self, Problem> {
+        match tokio::time::timeout_at(deadline.into(), Self::read(incoming)).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(error)) => {
+                let detail = format!("the request's body broke off: {error}");
+                Err(Problem::not_run(Cause::BadRequest, detail))
+            }
+            Err(_) => {
+                let detail = "the request's body was not complete before the deadline";
+                Err(Problem::not_run(Cause::DeadlinePassed, detail))
+            }
+        }
+    }
+
     /// The first part of the body.
     pub fn prefix(&self) -> &[u8] {
         match self {
@@ -132,3 +153,12 @@
         hint
     }
 }
+
+/// Reads a whole body of at most `limit` bytes.
+pub async fn read_all(incoming: Incoming, limit: usize) -> anyhow::Result<Bytes> {
+    let limited = Limited::new(incoming, limit);
+    match limited.collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) => Err(anyhow::anyhow!(error)),
+    }
+}
--- /dev/null
+++ b/crates/basilbay_daemon/src/control.rs
@@ -0,0 +1,289 @@
+//! Drives the membership node: datagrams, pulls, reads of the platform and the clock.
+//!
+//! The node decides and returns actions; this module carries them out. Everything here may fail
+//! or be lost without harm: the node asks again.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use http::{Request, Response, StatusCode};
+use tokio::net::UdpSocket;
+use tokio::task::AbortHandle;
+
+use basilbay_membership::action::{Action, Origin, Source};
+use basilbay_membership::node::{Identity, Node};
+use basilbay_membership::reader::{PLATFORM_TIMEOUT, WATCH_WAIT};
+use basilbay_membership::{pull, standing::Standing};
+use basilbay_model::id::{InstanceId, Version};
+use basilbay_model::roster::{Roster, Stamp};
+use basilbay_wire::control::{CONFIG_PATH, ConfigBody, ROSTER_PATH, RosterBody};
+use basilbay_wire::datagram::{Body as Message, Datagram};
+use basilbay_wire::frame::{self, FORMAT, MAX_CONTROL_BYTES, MAX_DATAGRAM_BYTES};
+
+use crate::body::{self, Body};
+use crate::daemon::Daemon;
+use crate::{platform, report};
+
+/// Result of a pull.
+pub type Result<T> = anyhow::Result<T>;
+
+/// Time between two ticks of the node; a pause shows as a gap of several.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The node and its socket.
+#[derive(Debug)]
+pub struct Control {
+    node: Mutex<Node>,
+    socket: UdpSocket,
+    watch: Mutex<Option<AbortHandle>>,
+}
+
+impl Control {
+    /// Binds the socket for datagrams.
+    pub async fn bind(identity: Identity, seed: u64) -> Result<Self> {
+        let address = identity.peer;
+        let socket = UdpSocket::bind(address)
+            .await
+            .with_context(|| format!("cannot bind UDP {address}"))?;
+        Ok(Self {
+            node: Mutex::new(Node::new(identity, seed, Instant::now())),
+            socket,
+            watch: Mutex::new(None),
+        })
+    }
+
+    /// Locks the node.
+    pub fn node(&self) -> MutexGuard<'_, Node> {
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps the newest watch and ends the former one.
+    fn replace_watch(&self, watch: AbortHandle) {
+        let mut kept = self.watch.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(former) = kept.replace(watch) {
+            former.abort();
+        }
+    }
+
+    /// Sends a datagram; one that cannot be sent is dropped.
+    pub fn send(&self, origin: &InstanceId, body: Message, to: SocketAddr) {
+        let datagram = Datagram {
+            format: FORMAT,
+            origin: origin.clone(),
+            body,
+        };
+        let bytes = frame::encode(&datagram);
+        if bytes.len() <= MAX_DATAGRAM_BYTES {
+            let _ = self.socket.try_send_to(&bytes, to);
+        }
+    }
+}
+
+/// Ticks the node for as long as the daemon runs.
+pub async fn drive(daemon: Arc<Daemon>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let now = Instant::now();
+        let state = daemon.admission.state();
+        {
+            let mut node = daemon.control.node();
+            node.set_state(state);
+            node.tick(now);
+        }
+        settle(&daemon);
+    }
+}
+
+/// Receives datagrams for as long as the daemon runs.
+pub async fn receive(daemon: Arc<Daemon>) {
+    let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+    loop {
+        let Ok((length, source)) = daemon.control.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match frame::decode::<Datagram>(&buffer[..length], MAX_DATAGRAM_BYTES) {
+            Ok(datagram) => hear(&daemon, &datagram, source),
+            Err(error) => report::malformed_datagram(source, &error),
+        }
+    }
+}
+
+fn hear(daemon: &Arc<Daemon>, datagram: &Datagram, source: SocketAddr) {
+    let now = Instant::now();
+    let origin = &datagram.origin;
+    match &datagram.body {
+        Message::Load(load) => daemon.hear_load(origin, load, now),
+        Message::Heartbeat { beat, reply } => {
+            let mut node = daemon.control.node();
+            node.heard(origin, source, beat, *reply, now);
+        }
+        Message::Leaving => daemon.control.node().left(origin, now),
+        Message::Suspicions(suspicions) => daemon.suspects.hear(daemon, suspicions, now),
+    }
+    settle(daemon);
+}
+
+/// Carries out what the node asks for and publishes its standing.
+pub fn settle(daemon: &Arc<Daemon>) {
+    let now = Instant::now();
+    let (actions, standing, as_of) = {
+        let mut node = daemon.control.node();
+        (node.actions(), node.standing(now), node.roster_as_of())
+    };
+    for action in actions {
+        perform(daemon, action);
+    }
+    note_standing(daemon, standing, as_of, now);
+}
+
+fn note_standing(daemon: &Arc<Daemon>, standing: Standing, as_of: Stamp, now: Instant) {
+    daemon.trust.note(standing.serves(), now);
+    daemon.close_while_unconfirmed(!standing.serves());
+    daemon.note_as_of(as_of);
+}
+
+fn perform(daemon: &Arc<Daemon>, action: Action) {
+    match action {
+        Action::Send { to, body } => daemon.control.send(&daemon.settings.id, body, to),
+        Action::PullConfig { from, have } => {
+            tokio::spawn(pull_config(daemon.clone(), from, have));
+        }
+        Action::WatchConfig { from, after } => {
+            let task = tokio::spawn(watch_config(daemon.clone(), from, after));
+            daemon.control.replace_watch(task.abort_handle());
+        }
+        Action::PullRoster { from, have } => {
+            tokio::spawn(pull_roster(daemon.clone(), from, have));
+        }
+        Action::ConfigInForce(config) => daemon.set_config(config),
+        Action::RosterInForce(roster) => daemon.set_roster(roster),
+        Action::Left(id) => daemon.note_left(&id),
+        Action::Emit(event) => report::membership(&event),
+        Action::Paused => {
+            daemon.close_while_unconfirmed(true);
+            report::paused();
+        }
+        Action::Confirmed => report::confirmed(),
+        // The standing says the same, and is read after the actions.
+        Action::Isolated(_) => {}
+    }
+}
+
+async fn pull_config(daemon: Arc<Daemon>, from: Origin, have: Version) {
+    match &from.source {
+        Source::Platform => read_config(&daemon, &from, None).await,
+        Source::Peer { id, address } => {
+            let path = format!("{CONFIG_PATH}?have={have}");
+            let pulled = pull::<ConfigBody>(&daemon, id, *address, &path).await;
+            let now = Instant::now();
+            let mut node = daemon.control.node();
+            match pulled {
+                Ok(body) => node.config_body(body, &from, now),
+                Err(_) => node.config_failed(&from, now),
+            }
+        }
+    }
+    settle(&daemon);
+}
+
+async fn watch_config(daemon: Arc<Daemon>, from: Origin, after: Version) {
+    read_config(&daemon, &from, Some(after)).await;
+    settle(&daemon);
+}
+
+async fn read_config(daemon: &Daemon, from: &Origin, after: Option<Version>) {
+    let address = daemon.settings.config_service;
+    let (uri, patience) = match after {
+        Some(after) => {
+            let wait_ms = WATCH_WAIT.as_millis();
+            let uri = format!("http://{address}/config?after={after}&wait_ms={wait_ms}");
+            (uri, WATCH_WAIT + PLATFORM_TIMEOUT)
+        }
+        None => (format!("http://{address}/config"), PLATFORM_TIMEOUT),
+    };
+    let read = platform::get(daemon, &uri, patience).await;
+    let now = Instant::now();
+    let mut node = daemon.control.node();
+    match read {
+        Ok((StatusCode::NOT_MODIFIED, _)) => node.config_unchanged(from, now),
+        Ok((_, bytes)) => match String::from_utf8(bytes) {
+            Ok(text) => node.config_text(&Arc::from(text), from, now),
+            Err(_) => node.config_failed(from, now),
+        },
+        Err(_) => node.config_failed(from, now),
+    }
+}
+
+async fn pull_roster(daemon: Arc<Daemon>, from: Origin, have: Version) {
+    let pulled = match &from.source {
+        Source::Platform => read_roster(&daemon).await,
+        Source::Peer { id, address } => {
+            let path = format!("{ROSTER_PATH}?have={have}");
+            pull::<RosterBody>(&daemon, id, *address, &path)
+                .await
+                .map(|body| body.roster)
+        }
+    };
+    let now = Instant::now();
+    {
+        let mut node = daemon.control.node();
+        match pulled {
+            Ok(mut roster) => {
+                roster.sort();
+                node.roster(Arc::new(roster), &from, now);
+            }
+            Err(_) => node.roster_failed(&from, now),
+        }
+    }
+    settle(&daemon);
+}
+
+async fn read_roster(daemon: &Daemon) -> Result<Roster> {
+    let uri = format!("http://{}/instances", daemon.settings.instance_list);
+    let (_, bytes) = platform::get(daemon, &uri, PLATFORM_TIMEOUT).await?;
+    Ok(serde_json::from_slice(&bytes)?)
+}
+
+async fn pull<T: serde::de::DeserializeOwned>(
+    daemon: &Daemon,
+    peer: &InstanceId,
+    address: SocketAddr,
+    path: &str,
+) -> Result<T> {
+    let uri = format!("http://{address}{path}");
+    let request = Request::get(uri).body(body::empty())?;
+    let link = daemon.links.to(peer, address);
+    let pulling = async {
+        let response = link
+            .send(request)
+            .await
+            .map_err(|failure| anyhow::anyhow!("{failure:?}"))?;
+        anyhow::ensure!(response.status().is_success(), "{}", response.status());
+        body::read_all(response.into_body(), MAX_CONTROL_BYTES).await
+    };
+    let bytes = tokio::time::timeout(pull::PEER_TIMEOUT, pulling).await??;
+    Ok(frame::decode(&bytes, MAX_CONTROL_BYTES)?)
+}
+
+/// Answers a pull of another daemon, if the path is one of a pull.
+pub fn serve(daemon: &Arc<Daemon>, path: &str, query: Option<&str>) -> Option<Response<Body>> {
+    let have = have(query);
+    let now = Instant::now();
+    let bytes = match path {
+        CONFIG_PATH => frame::encode(&daemon.control.node().serve_config(have, now)),
+        ROSTER_PATH => frame::encode(&daemon.control.node().serve_roster(have, now)),
+        _ => return None,
+    };
+    Some(Response::new(body::full(bytes.into())))
+}
+
+fn have(query: Option<&str>) -> Version {
+    query
+        .and_then(|query| query.strip_prefix("have="))
+        .and_then(|have| have.parse().ok())
+        .unwrap_or(0)
+}
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -1,28 +1,43 @@
 //! The composition of a daemon: all its state and the tasks that drive it.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime};
 
 use arc_swap::ArcSwap;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use basilbay_admission::gate::Closed;
 use basilbay_events::catalogue;
 use basilbay_events::emit;
 use basilbay_events::metrics::Metrics;
+use basilbay_keys::history::History;
+use basilbay_keys::key;
+use basilbay_membership::node::Identity;
 use basilbay_model::config::{Config, Limits};
-use basilbay_model::id::ServiceId;
-use basilbay_model::roster::Roster;
+use basilbay_model::domain::State as Wanted;
+use basilbay_model::id::{InstanceId, ServiceId};
+use basilbay_model::roster::{Roster, Stamp, State as Listed};
+use basilbay_model::service::Contract;
 use basilbay_routing::board::CallId;
+use basilbay_routing::push::Publisher;
 use basilbay_routing::router::Router;
+use basilbay_wire::datagram::Body as Message;
+use basilbay_wire::load::Load;
 
 use crate::admission::Admission;
+use crate::control::{self, Control};
+use crate::health::{self, Health};
+use crate::home::Registry;
 use crate::link::Links;
-use crate::platform;
+use crate::platform::{self, Connections};
 use crate::pool::Pool;
-use crate::server;
+use crate::server::{self, Side};
 use crate::settings::Settings;
+use crate::suspects::Watchlist;
+use crate::trust::Trust;
+use crate::{admin, stop};
 
 /// Result of starting a daemon.
 pub type Result<T> = anyhow::Result<T>;
@@ -33,6 +48,12 @@
 /// Odd constant of Weyl's sequence, which spreads consecutive draws.
 const WEYL: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// Bytes of a load datagram with the headers of UDP and IP, for the budget.
+const LOAD_DATAGRAM_BYTES: usize = 160;
+
+/// Time between two looks at keys whose retention is over.
+const FORGET_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Configuration and roster in force.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -58,10 +79,12 @@
     }
 }
 
-/// The router of one service, under its own lock.
+/// What the daemon keeps for one service, each part under its own lock.
 #[derive(Debug)]
 pub struct Shard {
+    service: ServiceId,
     router: Mutex<Router>,
+    history: Mutex<History>,
 }
 
 impl Shard {
@@ -69,6 +92,10 @@
     pub fn lock(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn history(&self) -> MutexGuard<'_, History> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// A daemon.
@@ -77,33 +104,71 @@
     /// Its settings.
     pub settings: Settings,
     /// Admission to the own target.
-    pub admission: Admission,
+    pub admission: Arc<Admission>,
     /// Connections to the own target.
     pub pool: Arc<Pool>,
+    /// Whether the own target is up.
+    pub health: Health,
+    /// Requests that may crash targets.
+    pub suspects: Watchlist,
+    /// Keys that this daemon owns.
+    pub registry: Registry,
     /// Links to other daemons.
     pub links: Links,
+    /// Connections to the platform.
+    pub platform: Connections,
+    /// The membership node.
+    pub control: Control,
+    /// Whether the view may be acted on.
+    pub trust: Trust,
     /// Where metrics go.
     pub metrics: Metrics,
     /// Cancelled when the daemon shall stop.
     pub stop: CancellationToken,
+    publisher: Mutex<Publisher>,
     view: ArcSwap<View>,
-    routers: ArcSwap<Vec<(ServiceId, Arc<Shard>)>>,
+    /// Sorted by service.
+    shards: ArcSwap<Vec<Arc<Shard>>>,
+    /// Held while the view or the shards change.
+    changing: Mutex<()>,
+    unconfirmed: AtomicBool,
+    as_of: AtomicU64,
+    started: Stamp,
     calls: AtomicU64,
     draws: AtomicU64,
 }
 
 impl Daemon {
     /// Puts a daemon together.
-    pub fn new(settings: Settings) -> Result<Arc<Self>> {
-        let metrics = Metrics::new(settings.statsd)?;
+    pub async fn new(settings: Settings) -> Result<Arc<Self>> {
+        let now = Instant::now();
+        let identity = Identity {
+            id: settings.id.clone(),
+            service: settings.service.clone(),
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            peer: settings.peers,
+        };
+        let start = health::find(settings.target).await;
         Ok(Arc::new(Self {
-            admission: Admission::new(18),
+            admission: Admission::new(&Contract::default(), start, now),
             pool: Arc::new(Pool::new(settings.target, FIRST_CONNECTIONS)),
+            health: Health::default(),
+            suspects: Watchlist::new(settings.service.clone()),
+            registry: Registry::default(),
             links: Links::default(),
-            metrics,
+            platform: platform::connections(),
+            control: Control::bind(identity, settings.seed).await?,
+            trust: Trust::new(now),
+            metrics: Metrics::new(settings.statsd)?,
             stop: CancellationToken::new(),
+            publisher: Mutex::new(Publisher::new(now)),
             view: ArcSwap::from_pointee(View::empty()),
-            routers: ArcSwap::from_pointee(Vec::new()),
+            shards: ArcSwap::from_pointee(Vec::new()),
+            changing: Mutex::new(()),
+            unconfirmed: AtomicBool::new(false),
+            as_of: AtomicU64::new(0),
+            started: key::stamp(SystemTime::now()),
             calls: AtomicU64::new(0),
             draws: AtomicU64::new(settings.seed),
             settings,
@@ -121,9 +186,16 @@
             callers = %callers.local_addr()?,
             peers = %peers.local_addr()?,
         );
-        tokio::spawn(platform::poll(self.clone()));
-        let callers = server::accept(self.clone(), callers, server::Side::Callers);
-        let peers = server::accept(self.clone(), peers, server::Side::Peers);
+        tokio::spawn(control::receive(self.clone()));
+        tokio::spawn(control::drive(self.clone()));
+        tokio::spawn(self.admission.clone().drive());
+        tokio::spawn(health::drive(self.clone()));
+        tokio::spawn(health::measure(self.clone()));
+        tokio::spawn(admin::serve(self.clone()));
+        tokio::spawn(forget(self.clone()));
+        tokio::spawn(stop::on_signal(self.clone()));
+        let callers = server::accept(self.clone(), callers, Side::Callers);
+        let peers = server::accept(self.clone(), peers, Side::Peers);
         tokio::join!(callers, peers);
         emit!(catalogue::STOPPED, instance = %self.settings.id);
         Ok(())
@@ -134,38 +206,156 @@
         self.view.load_full()
     }
 
-    /// Puts a configuration and a roster in force.
-    pub fn set_view(&self, view: View) {
-        let now = Instant::now();
-        let domain = &self.settings.domain;
-        let known = self.routers.load_full();
-        let mut routers = Vec::new();
+    /// Puts a configuration in force.
+    pub fn set_config(&self, config: Arc<Config>) {
+        self.change(|view| view.config = config);
+    }
+
+    /// Puts a roster in force.
+    pub fn set_roster(&self, roster: Arc<Roster>) {
+        self.change(|view| view.roster = roster);
+    }
+
+    fn change(&self, change: impl FnOnce(&mut View)) {
+        let _changing = self.changing.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut view = View::clone(&self.view());
+        change(&mut view);
+        self.sync_shards(&view);
+        self.sync_target(&view);
+        self.links.retain(|id| view.roster.instance(id).is_some());
+        self.view.store(Arc::new(view));
+    }
+
+    fn sync_shards(&self, view: &View) {
+        let known = self.shards.load_full();
+        let mut shards = Vec::with_capacity(view.config.services.len());
         for service in &view.config.services {
-            let found = known.binary_search_by(|(id, _)| id.cmp(&service.id));
+            let found = known.binary_search_by(|shard| shard.service.cmp(&service.id));
             let shard = match found {
-                Ok(index) => known[index].1.clone(),
-                Err(_) => Arc::new(Shard {
-                    router: Mutex::new(Router::new(service.id.clone(), self.draw(), now)),
-                }),
+                Ok(index) => known[index].clone(),
+                Err(_) => Arc::new(self.new_shard(&service.id, &view.config.limits)),
             };
+            let domain = &self.settings.domain;
             shard.lock().sync(&view.config, &view.roster, domain);
-            routers.push((service.id.clone(), shard));
+            if view.roster.version > 0 {
+                shard.history().observe(&view.roster);
+            }
+            shards.push(shard);
         }
-        if let Some(service) = view.config.service(&self.settings.service) {
-            self.pool.set_most(service.contract.connections as usize);
+        self.shards.store(Arc::new(shards));
+    }
+
+    fn new_shard(&self, service: &ServiceId, limits: &Limits) -> Shard {
+        let router = Router::new(service.clone(), self.draw(), Instant::now());
+        let history = History::new(service.clone(), limits.key_retention, self.started);
+        Shard {
+            service: service.clone(),
+            router: Mutex::new(router),
+            history: Mutex::new(history),
         }
-        self.links.retain(|id| view.roster.instance(id).is_some());
-        self.view.store(Arc::new(view));
-        self.routers.store(Arc::new(routers));
     }
 
-    /// The router of a service.
+    /// Applies a view to the own target: its contract, and whether it takes work at all.
+    fn sync_target(&self, view: &View) {
+        let Some(service) = view.config.service(&self.settings.service) else {
+            self.admission.set_state(Closed::Out, true);
+            return;
+        };
+        self.pool.set_most(service.contract.connections as usize);
+        self.admission.set_contract(&service.contract);
+        let is_in = service.state == Wanted::In && view.config.domain_is_in(&self.settings.domain);
+        self.admission.set_state(Closed::Out, !is_in);
+        let listed = view.roster.instance(&self.settings.id);
+        if listed.is_some_and(|instance| instance.state == Listed::Leaving) {
+            self.admission.set_state(Closed::Leaving, true);
+        }
+        self.announce();
+    }
+
+    /// What is kept for a service.
     pub fn router(&self, service: &str) -> Option<Arc<Shard>> {
-        let routers = self.routers.load();
-        let index = routers
-            .binary_search_by(|(id, _)| (**id).cmp(service))
+        let shards = self.shards.load();
+        let index = shards
+            .binary_search_by(|shard| (*shard.service).cmp(service))
             .ok()?;
-        Some(routers[index].1.clone())
+        Some(shards[index].clone())
+    }
+
+    /// Reads the roster history of a service.
+    pub fn with_history<T>(&self, service: &str, read: impl FnOnce(&History) -> T) -> Option<T> {
+        let shard = self.router(service)?;
+        let history = shard.history();
+        Some(read(&history))
+    }
+
+    /// Notes the latest time at which the roster in force is known to have been true.
+    pub fn note_as_of(&self, as_of: Stamp) {
+        if self.as_of.swap(as_of, Ordering::AcqRel) == as_of {
+            return;
+        }
+        let _changing = self.changing.lock().unwrap_or_else(PoisonError::into_inner);
+        let version = self.view.load().roster.version;
+        if version == 0 {
+            return;
+        }
+        // The same version with a later time: only the time is taken over.
+        let confirmed = Roster {
+            version,
+            as_of_ms: as_of,
+            instances: Vec::new(),
+        };
+        for shard in self.shards.load().iter() {
+            shard.history().observe(&confirmed);
+        }
+    }
+
+    /// Takes load figures that a target's daemon sent.
+    pub fn hear_load(&self, origin: &InstanceId, load: &Load, now: Instant) {
+        let view = self.view.load();
+        let Some(instance) = view.roster.instance(origin) else {
+            return;
+        };
+        if let Some(shard) = self.router(&instance.service) {
+            shard.lock().hear(origin, load, now);
+        }
+    }
+
+    /// Notes that an instance said itself that it leaves.
+    pub fn note_left(&self, id: &InstanceId) {
+        let view = self.view.load();
+        let service = view.roster.instance(id).map(|instance| &instance.service);
+        if let Some(shard) = service.and_then(|service| self.router(service)) {
+            shard.lock().board.leave(id);
+        }
+    }
+
+    /// Closes the target while the view is not confirmed.
+    pub fn close_while_unconfirmed(&self, is_unconfirmed: bool) {
+        if self.unconfirmed.swap(is_unconfirmed, Ordering::AcqRel) != is_unconfirmed {
+            self.admission
+                .set_state(Closed::Unconfirmed, is_unconfirmed);
+        }
+    }
+
+    /// Notes that a daemon got the load with an answer.
+    pub fn note_answered(&self, origin: &InstanceId, now: Instant) {
+        let view = self.view.load();
+        if let Some(instance) = view.roster.instance(origin) {
+            let load = self.admission.load();
+            self.publisher().answered(origin, instance.peer, &load, now);
+        }
+    }
+
+    /// Tells the daemons that call here of the load, as far as it changed and the budget allows.
+    pub fn announce(&self) {
+        let load = self.admission.load();
+        let due = self
+            .publisher()
+            .due(&load, LOAD_DATAGRAM_BYTES, Instant::now());
+        for address in due {
+            let body = Message::Load(load.clone());
+            self.control.send(&self.settings.id, body, address);
+        }
     }
 
     /// A number for a new call.
@@ -177,4 +367,17 @@
     pub fn draw(&self) -> u64 {
         self.draws.fetch_add(WEYL, Ordering::Relaxed)
     }
+
+    fn publisher(&self) -> MutexGuard<'_, Publisher> {
+        self.publisher
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn forget(daemon: Arc<Daemon>) {
+    loop {
+        tokio::time::sleep(FORGET_INTERVAL).await;
+        daemon.registry.forget(Instant::now());
+    }
 }
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -3,19 +3,23 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use tracing::Instrument;
 
+use basilbay_keys::suspect;
 use basilbay_model::id::InstanceId;
-use basilbay_routing::retry::Attempts;
+use basilbay_routing::board::CallId;
+use basilbay_routing::retry::{Attempts, Budget};
 use basilbay_routing::router::Ending;
 use basilbay_wire::hop::Role;
 use basilbay_wire::problem::{Cause, Outcome, Problem};
 
 use crate::answer::{self, Reply};
 use crate::body::{Body, Received};
-use crate::daemon::{Daemon, View};
+use crate::daemon::{Daemon, Shard};
 use crate::errand::Errand;
+use crate::home;
 use crate::hop::{self, Return};
 use crate::intake;
 use crate::target;
@@ -24,7 +28,10 @@
 /// Serves a request of a caller.
 pub async fn serve(daemon: &Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
     let reply = match receive(daemon, request).await {
-        Ok((errand, body)) => route(daemon, &errand, body).await,
+        Ok((errand, body)) => {
+            let span = errand.span("entry", &daemon.settings.id);
+            dispatch(daemon, errand, body).instrument(span).await
+        }
         Err(problem) => Reply::Problem(problem),
     };
     match reply {
@@ -42,86 +49,175 @@
 ) -> Result<(Errand, Received), Problem> {
     let now = Instant::now();
     let (parts, incoming) = request.into_parts();
+    if !daemon.trust.holds(now) {
+        let detail = "the daemon is confirming its view";
+        return Err(Problem::not_run(Cause::Unconfirmed, detail));
+    }
     let intake = intake::read(&parts, &daemon.view().config)?;
     let trace = Context::from_headers(&parts.headers, daemon.draw()).child(daemon.draw());
-    let errand = Errand::new(parts, intake, trace, now);
-    let reading = Received::read(incoming);
-    match tokio::time::timeout_at(errand.deadline.into(), reading).await {
-        Ok(Ok(body)) => Ok((errand, body)),
-        Ok(Err(error)) => {
-            let detail = format!("the request's body broke off: {error}");
-            Err(Problem::not_run(Cause::BadRequest, detail))
-        }
-        Err(_) => {
-            let detail = "the request's body was not complete before the deadline";
-            Err(Problem::not_run(Cause::DeadlinePassed, detail))
-        }
+    let mut errand = Errand::new(parts, intake, trace, now);
+    let body = Received::read_until(incoming, errand.deadline).await?;
+    errand.fingerprint = suspect::fingerprint(
+        &errand.intake.service,
+        errand.method.as_str(),
+        errand.path.as_str(),
+        errand.intake.key.as_deref(),
+        body.prefix(),
+    );
+    Ok((errand, body))
+}
+
+async fn dispatch(daemon: &Arc<Daemon>, errand: Errand, body: Received) -> Reply {
+    if errand.intake.idempotent {
+        return route(daemon, &errand, body).await;
+    }
+    match errand.intake.key.as_deref().map(home::parse) {
+        None => route(daemon, &errand, body).await,
+        Some(Ok(key)) => home::route(daemon, errand, body, key).await,
+        Some(Err(problem)) => Reply::Problem(problem),
     }
 }
 
 /// Tries targets until one answers or no further attempt is allowed.
-pub async fn route(daemon: &Arc<Daemon>, errand: &Errand, mut body: Received) -> Reply {
-    let Some(router) = daemon.router(&errand.intake.service) else {
-        let detail = format!("no targets of service '{}'", errand.intake.service);
-        return Reply::Problem(Problem::not_run(Cause::ServiceOut, detail));
+pub async fn route(daemon: &Arc<Daemon>, errand: &Errand, body: Received) -> Reply {
+    let Some(shard) = daemon.router(&errand.intake.service) else {
+        return Reply::Problem(no_target(errand));
     };
-    let call = daemon.next_call();
-    let mut attempts = router.lock().attempts(
+    let attempts = shard.lock().attempts(
         errand.intake.idempotent,
         errand.deadline,
         errand.intake.allowance,
     );
-    let mut tried: Vec<InstanceId> = Vec::new();
-    let mut last = None;
+    let mut course = Course {
+        call: daemon.next_call(),
+        attempts,
+        tried: Vec::new(),
+        may_have_run: false,
+        last: None,
+        body,
+    };
     loop {
-        let picked = router.lock().pick(call, &tried, Instant::now());
+        let picked = shard
+            .lock()
+            .pick(course.call, &course.tried, Instant::now());
         let Some(id) = picked else {
-            return Reply::Problem(last.unwrap_or_else(|| no_target(errand)));
+            return course.give_up(errand);
         };
-        let Some(taken) = body.take() else {
-            router
-                .lock()
-                .end(&id, call, Ending::Abandoned, Instant::now());
-            return Reply::Problem(last.unwrap_or_else(|| no_target(errand)));
+        let Some(taken) = course.body.take() else {
+            let now = Instant::now();
+            shard.lock().end(&id, course.call, Ending::Abandoned, now);
+            return course.give_up(errand);
         };
-        let view = daemon.view();
-        let returned = attempt(daemon, &view, errand, &id, &attempts, taken).await;
-        let ending = ending_of(&returned);
-        let now = Instant::now();
-        let problem = {
-            let mut router = router.lock();
-            router.end(&id, call, ending, now);
-            if let Some(load) = &returned.load {
-                router.hear(&id, load, now);
-            }
-            match returned.reply {
-                Reply::Answer(response) => return Reply::Answer(response),
-                Reply::Problem(problem) => {
-                    if !may_retry(&problem, &body, &mut attempts, &mut router.budget, now) {
-                        return Reply::Problem(problem);
-                    }
-                    problem
-                }
-            }
+        let under_way = UnderWay::new(&shard, id.clone(), course.call);
+        let returned = attempt(daemon, errand, &id, &course.attempts, taken).await;
+        under_way.end(&returned);
+        if !course.goes_on(returned.reply, id, &mut shard.lock().budget) {
+            return course.give_up(errand);
+        }
+    }
+}
+
+/// The attempts of one call so far.
+struct Course {
+    call: CallId,
+    attempts: Attempts,
+    tried: Vec<InstanceId>,
+    /// Whether an attempt ended without saying that the request has not run.
+    may_have_run: bool,
+    last: Option<Reply>,
+    body: Received,
+}
+
+impl Course {
+    /// Takes the end of an attempt; false when it is the last one.
+    fn goes_on(&mut self, reply: Reply, id: InstanceId, budget: &mut Budget) -> bool {
+        let outcome = match &reply {
+            Reply::Answer(response) if is_overloaded(response) => Some(Outcome::Unknown),
+            Reply::Answer(_) => None,
+            Reply::Problem(problem) if is_local(problem) => Some(problem.outcome),
+            Reply::Problem(_) => None,
+        };
+        if let Reply::Problem(problem) = &reply {
+            self.may_have_run |= problem.outcome == Outcome::Unknown;
+        }
+        self.last = Some(reply);
+        self.tried.push(id);
+        let Some(outcome) = outcome else {
+            return false;
         };
-        tried.push(id);
-        last = Some(problem);
+        self.body.is_kept() && self.attempts.again(outcome, budget, Instant::now())
+    }
+
+    /// The last word to the caller.
+    ///
+    /// A refusal of the last attempt does not make the request "not run" if an earlier attempt
+    /// may have run.
+    fn give_up(self, errand: &Errand) -> Reply {
+        match self.last {
+            Some(Reply::Problem(problem)) if self.may_have_run => Reply::Problem(Problem {
+                outcome: Outcome::Unknown,
+                ..problem
+            }),
+            Some(reply) => reply,
+            None => Reply::Problem(no_target(errand)),
+        }
+    }
+}
+
+/// Whether the target itself says that it cannot serve; an idempotent request may try another.
+fn is_overloaded(response: &Response<Body>) -> bool {
+    matches!(
+        response.status(),
+        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+    )
+}
+
+/// Whether another target may do better.
+fn is_local(problem: &Problem) -> bool {
+    let found_full = problem.cause == Cause::DeadlinePassed && problem.outcome == Outcome::NotRun;
+    problem.cause.is_local() || found_full
+}
+
+/// An attempt that is noted on the board; one that is dropped with its call counts as abandoned.
+struct UnderWay<'a> {
+    shard: &'a Shard,
+    id: InstanceId,
+    call: CallId,
+    is_over: bool,
+}
+
+impl<'a> UnderWay<'a> {
+    fn new(shard: &'a Shard, id: InstanceId, call: CallId) -> Self {
+        Self {
+            shard,
+            id,
+            call,
+            is_over: false,
+        }
+    }
+
+    fn end(mut self, returned: &Return) {
+        self.is_over = true;
+        let now = Instant::now();
+        let mut router = self.shard.lock();
+        router.end(&self.id, self.call, ending_of(returned), now);
+        if let Some(load) = &returned.load {
+            router.hear(&self.id, load, now);
+        }
     }
 }
 
-fn may_retry(
-    problem: &Problem,
-    body: &Received,
-    attempts: &mut Attempts,
-    budget: &mut basilbay_routing::retry::Budget,
-    now: Instant,
-) -> bool {
-    body.is_kept() && problem.cause.is_local() && attempts.again(problem.outcome, budget, now)
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            let mut router = self.shard.lock();
+            router.end(&self.id, self.call, Ending::Abandoned, Instant::now());
+        }
+    }
 }
 
 async fn attempt(
     daemon: &Arc<Daemon>,
-    view: &View,
     errand: &Errand,
     id: &InstanceId,
     attempts: &Attempts,
@@ -135,6 +231,7 @@
             is_reachable: true,
         };
     }
+    let view = daemon.view();
     match view.roster.instance(id) {
         Some(instance) => {
             let address = instance.peer;
@@ -153,6 +250,7 @@
 
 fn ending_of(returned: &Return) -> Ending {
     match &returned.reply {
+        Reply::Answer(response) if is_overloaded(response) => Ending::Failed,
         Reply::Answer(_) => Ending::Answered,
         Reply::Problem(problem) if problem.cause == Cause::DeadlinePassed => Ending::Abandoned,
         Reply::Problem(problem)
--- a/crates/basilbay_daemon/src/errand.rs
+++ b/crates/basilbay_daemon/src/errand.rs
@@ -59,6 +59,20 @@
         u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
     }
 
+    /// The span of one hop; the trace id ties the hops of a call tree together.
+    pub fn span(&self, role: &'static str, instance: &str) -> tracing::Span {
+        tracing::info_span!(
+            "hop",
+            role,
+            instance,
+            trace = format_args!("{:032x}", self.trace.trace),
+            span = format_args!("{:016x}", self.trace.span),
+            service = %self.intake.service,
+            kind = %self.intake.kind,
+            depth = self.intake.depth,
+        )
+    }
+
     /// The hop that carries the request to another daemon.
     pub fn hop(
         &self,
--- /dev/null
+++ b/crates/basilbay_daemon/src/health.rs
@@ -0,0 +1,157 @@
+//! Watches the own target: whether it accepts connections, and what its load endpoint says.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use http::Request;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+
+use basilbay_admission::gate::{Closed, Start};
+use basilbay_admission::probe::{Budget, Report};
+use basilbay_events::catalogue;
+use basilbay_events::emit;
+
+use crate::body;
+use crate::daemon::Daemon;
+use crate::platform;
+
+/// Time between two looks at the kept connections.
+const CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Time in which a running target accepts a connection on its own instance.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time between two looks at the measuring budget.
+const BUDGET_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time that the load endpoint has to answer.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest answer of a load endpoint.
+const MAX_REPORT_BYTES: usize = 16 * 1024;
+
+/// What is known of the target's process.
+#[derive(Debug, Default)]
+pub struct Health {
+    is_down: AtomicBool,
+    judging: tokio::sync::Mutex<()>,
+}
+
+impl Health {
+    /// Looks whether the target crashed after a connection to it broke.
+    ///
+    /// All requests of a crashed target break at about the same time. The first one here takes
+    /// down which requests were on the target and warns the siblings; the others wait for that,
+    /// so that no caller can resend before the siblings are warned.
+    pub async fn judge(&self, daemon: &Arc<Daemon>) {
+        let in_flight = daemon.admission.running();
+        let _first = self.judging.lock().await;
+        if self.is_down.load(Ordering::Acquire) {
+            return;
+        }
+        let answers = accepts(daemon).await && daemon.pool.open() > 0;
+        if answers {
+            return;
+        }
+        let now = Instant::now();
+        self.set_down(daemon, true);
+        daemon.suspects.crashed(daemon, &in_flight, now);
+    }
+
+    fn set_down(&self, daemon: &Arc<Daemon>, is_down: bool) {
+        let was_down = self.is_down.swap(is_down, Ordering::AcqRel);
+        if was_down == is_down {
+            return;
+        }
+        daemon.admission.set_state(Closed::Down, is_down);
+        if is_down {
+            daemon.pool.clear();
+            emit!(catalogue::TARGET_DOWN, target_address = %daemon.settings.target);
+        } else {
+            emit!(catalogue::TARGET_UP, target_address = %daemon.settings.target);
+        }
+        daemon.announce();
+    }
+}
+
+async fn accepts(daemon: &Daemon) -> bool {
+    let connecting = TcpStream::connect(daemon.settings.target);
+    matches!(
+        tokio::time::timeout(CONNECT_TIMEOUT, connecting).await,
+        Ok(Ok(_))
+    )
+}
+
+/// Finds out how the target is when the daemon starts.
+///
+/// A target that already accepts connections may run work that an earlier daemon handed to it.
+pub async fn find(target: SocketAddr) -> Start {
+    let connecting = TcpStream::connect(target);
+    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(_)) => Start::Restart,
+        _ => Start::Fresh,
+    }
+}
+
+/// Keeps connections ready and notices when the target goes away or comes back.
+pub async fn drive(daemon: Arc<Daemon>) {
+    loop {
+        let is_up = daemon.pool.fill().await.is_ok();
+        daemon.health.set_down(&daemon, !is_up);
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// What a load endpoint answers; fields that are absent say nothing.
+#[derive(Debug, Deserialize)]
+struct Reported {
+    #[serde(default)]
+    in_flight: u32,
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    state: String,
+}
+
+/// Asks the load endpoint whenever the measuring budget allows it.
+pub async fn measure(daemon: Arc<Daemon>) {
+    let mut budget: Option<Budget> = None;
+    loop {
+        tokio::time::sleep(BUDGET_INTERVAL).await;
+        let view = daemon.view();
+        let Some(service) = view.config.service(&daemon.settings.service) else {
+            continue;
+        };
+        let now = Instant::now();
+        let budget = budget.get_or_insert_with(|| Budget::new(&service.contract, now));
+        budget.set_contract(&service.contract);
+        if !budget.take(now) {
+            continue;
+        }
+        if let Ok(report) = ask(&daemon).await {
+            daemon.admission.observe(report);
+        }
+    }
+}
+
+async fn ask(daemon: &Daemon) -> platform::Result<Report> {
+    let uri = format!("http://{}/load", daemon.settings.target);
+    let request = Request::get(uri).body(body::empty())?;
+    let asking = async {
+        let response = daemon.platform.request(request).await?;
+        body::read_all(response.into_body(), MAX_REPORT_BYTES).await
+    };
+    let bytes = tokio::time::timeout(PROBE_TIMEOUT, asking).await??;
+    let reported: Reported = serde_json::from_slice(&bytes)?;
+    Ok(Report {
+        in_flight: reported.in_flight,
+        capacity: reported.slots,
+        ready: !matches!(
+            &*reported.state,
+            "draining" | "leaving" | "shedding" | "down"
+        ),
+    })
+}
--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -8,6 +8,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use tracing::Instrument;
 
 use basilbay_model::id::InstanceId;
 use basilbay_wire::frame;
@@ -17,9 +18,11 @@
 use basilbay_wire::problem::{Cause, Document, Outcome, Problem};
 
 use crate::answer::{self, Reply};
-use crate::body::{self, Body};
+use crate::body::{self, Body, Received};
+use crate::control;
 use crate::daemon::Daemon;
 use crate::errand::Errand;
+use crate::home;
 use crate::intake::Intake;
 use crate::pool::Failure;
 use crate::target;
@@ -146,9 +149,20 @@
 
 /// Serves a request that another daemon sent.
 pub async fn serve(daemon: &Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
+    let uri = request.uri();
+    if let Some(response) = control::serve(daemon, uri.path(), uri.query()) {
+        return response;
+    }
     let now = Instant::now();
     let reply = match receive(request, now) {
-        Ok((errand, hop, incoming)) => dispatch(daemon, errand, &hop, incoming).await,
+        Ok((errand, hop, incoming)) => {
+            let span = errand.span("target", &daemon.settings.id);
+            let reply = dispatch(daemon, errand, &hop, incoming)
+                .instrument(span)
+                .await;
+            daemon.note_answered(&hop.origin, now);
+            reply
+        }
         Err(problem) => Reply::Problem(problem),
     };
     let mut response = match reply {
@@ -166,10 +180,31 @@
 
 async fn dispatch(daemon: &Arc<Daemon>, errand: Errand, hop: &Hop, incoming: Incoming) -> Reply {
     match hop.role {
-        Role::Run | Role::Home => {
+        Role::Run => {
             let body = incoming.map_err(body::Error::from).boxed_unsync();
             target::run(daemon, &errand, hop.allowance, body).await
         }
+        Role::Home => own(daemon, errand, incoming).await,
+    }
+}
+
+async fn own(daemon: &Arc<Daemon>, errand: Errand, incoming: Incoming) -> Reply {
+    if !daemon.trust.holds(Instant::now()) {
+        // Its memory is good, but the roster that says who owns the key may be old.
+        let detail = "the daemon is confirming its view";
+        return Reply::Problem(Problem::unknown(Cause::Unconfirmed, detail));
+    }
+    let Some(text) = errand.intake.key.clone() else {
+        let detail = "a hop to the home of a key carries no key";
+        return Reply::Problem(Problem::not_run(Cause::BadRequest, detail));
+    };
+    let key = match home::parse(&text) {
+        Ok(key) => key,
+        Err(problem) => return Reply::Problem(problem),
+    };
+    match Received::read_until(incoming, errand.deadline).await {
+        Ok(body) => home::own(daemon, errand, body, key).await,
+        Err(problem) => Reply::Problem(problem),
     }
 }
 
--- a/crates/basilbay_daemon/src/lib.rs
+++ b/crates/basilbay_daemon/src/lib.rs
@@ -5,18 +5,26 @@
 //! [`entry`] picks a target's daemon and sends a hop there over a [`link`]; on that side
 //! [`target`] admits it and hands it to the target over a [`pool`].
 
+pub mod admin;
 pub mod admission;
 pub mod answer;
 pub mod body;
+pub mod control;
 pub mod daemon;
 pub mod entry;
 pub mod errand;
+pub mod health;
+pub mod home;
 pub mod hop;
 pub mod intake;
 pub mod link;
 pub mod platform;
 pub mod pool;
+pub mod report;
 pub mod server;
 pub mod settings;
+pub mod stop;
+pub mod suspects;
 pub mod target;
 pub mod trace;
+pub mod trust;
--- a/crates/basilbay_daemon/src/main.rs
+++ b/crates/basilbay_daemon/src/main.rs
@@ -72,7 +72,7 @@
         .enable_all()
         .build()?;
     runtime.block_on(async {
-        let daemon = Daemon::new(settings)?;
+        let daemon = Daemon::new(settings).await?;
         daemon.run().await
     })
 }
--- /dev/null
+++ b/crates/basilbay_daemon/src/report.rs
@@ -0,0 +1,37 @@
+//! Logs what the pure crates report, as numbered events.
+
+use std::net::SocketAddr;
+
+use basilbay_events::catalogue;
+use basilbay_events::emit;
+use basilbay_membership::event::Event;
+use basilbay_wire::frame;
+
+/// Logs an event of the membership node.
+pub fn membership(event: &Event) {
+    let number = event.number();
+    let Some(entry) = catalogue::ALL.iter().find(|entry| entry.number == number) else {
+        return;
+    };
+    match event {
+        Event::ConfigRejected { source, report } => {
+            emit!(*entry, ?source, findings = %report);
+        }
+        other => emit!(*entry, detail = ?other),
+    }
+}
+
+/// Logs that the process stood still.
+pub fn paused() {
+    emit!(catalogue::PAUSED);
+}
+
+/// Logs that the view is confirmed after a pause.
+pub fn confirmed() {
+    emit!(catalogue::CONFIRMED);
+}
+
+/// Logs a datagram that cannot be read.
+pub fn malformed_datagram(source: SocketAddr, error: &frame::Error) {
+    emit!(catalogue::DATAGRAM_MALFORMED, %source, %error);
+}
--- a/crates/basilbay_daemon/src/settings.rs
+++ b/crates/basilbay_daemon/src/settings.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Context;
 use basilbay_events::log::Format;
-use basilbay_model::finding::{Finding, Report};
+use basilbay_model::finding::Report;
 use basilbay_model::id::{DomainId, InstanceId, RegionId, ServiceId};
 use basilbay_model::ini::{Document, Reader, Section};
 
@@ -60,16 +60,16 @@
 impl Settings {
     /// Reads a file.
     pub fn load(path: &Path) -> Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .with_context(|| format!("cannot read {}", path.display()))?;
-        Ok(Self::parse(&path.display().to_string(), &text)?)
+        let bytes =
+            std::fs::read(path).with_context(|| format!("cannot read {}", path.display()))?;
+        Ok(Self::parse(&path.display().to_string(), &bytes)?)
     }
 
-    /// Reads a text; all findings are reported together.
-    pub fn parse(file: &str, text: &str) -> std::result::Result<Self, Report> {
+    /// Reads the content of a file; all findings are reported together.
+    pub fn parse(file: &str, bytes: &[u8]) -> std::result::Result<Self, Report> {
         let mut report = Report::default();
-        let document = Document::parse(file, text, &mut report);
-        check_sections(&document, &mut report);
+        let document = Document::parse_bytes(file, bytes, &mut report);
+        document.check_sections(&SECTIONS, &[], &mut report);
         let settings = read(&document, &mut report);
         report.sort();
         match settings {
@@ -79,22 +79,6 @@
     }
 }
 
-fn check_sections(document: &Document, report: &mut Report) {
-    for section in &document.sections {
-        if SECTIONS.contains(&&*section.name) {
-            continue;
-        }
-        report.push(Finding {
-            file: document.file.clone(),
-            line: section.line,
-            section: section.name.clone(),
-            key: Arc::from(""),
-            rule: "unknown-section",
-            message: format!("unknown section; known are {}", SECTIONS.join(", ")),
-        });
-    }
-}
-
 fn read(document: &Document, report: &mut Report) -> Option<Settings> {
     let absent = |name: &str| Section {
         name: Arc::from(name),
--- /dev/null
+++ b/crates/basilbay_daemon/src/stop.rs
@@ -0,0 +1,53 @@
+//! The graceful stop: no request in flight is cut off.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use basilbay_admission::gate::Closed;
+use basilbay_events::catalogue;
+use basilbay_events::emit;
+
+use crate::control;
+use crate::daemon::Daemon;
+
+/// Time for which the ports stay open after the word of leaving went out: requests that were
+/// sent before it arrived get a refusal, which is retried elsewhere, and not a closed port.
+const LINGER: Duration = Duration::from_millis(1500);
+
+/// Time after which running requests are given up.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Time between two looks at the running requests.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Waits for a signal to stop and then stops in order.
+pub async fn on_signal(daemon: Arc<Daemon>) {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    gracefully(&daemon).await;
+}
+
+/// Says that the target leaves, lets running requests finish and stops the ports.
+pub async fn gracefully(daemon: &Arc<Daemon>) {
+    emit!(catalogue::STOPPING, instance = %daemon.settings.id);
+    daemon.admission.set_state(Closed::Leaving, true);
+    daemon.control.node().leaving(Instant::now());
+    control::settle(daemon);
+    daemon.announce();
+    tokio::time::sleep(LINGER).await;
+    let patience = Instant::now() + PATIENCE;
+    while !daemon.admission.is_idle() && Instant::now() < patience {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+    daemon.stop.cancel();
+}
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -10,10 +10,12 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
+use basilbay_admission::gate::Completion;
+use basilbay_keys::suspect::Verdict;
 use basilbay_wire::header;
 use basilbay_wire::problem::{Cause, Problem};
 
-use crate::admission::Slot;
+use crate::admission::{Demand, Slot};
 use crate::answer::{self, Reply};
 use crate::body::{self, Body};
 use crate::daemon::Daemon;
@@ -28,7 +30,7 @@
     }
 }
 
-async fn admit(daemon: &Daemon, errand: &Errand) -> Result<Slot, Problem> {
+async fn admit(daemon: &Arc<Daemon>, errand: &Errand) -> Result<Slot, Problem> {
     if errand.intake.service != daemon.settings.service {
         let detail = format!(
             "this target belongs to service '{}'",
@@ -36,7 +38,34 @@
         );
         return Err(Problem::not_run(Cause::ServiceOut, detail));
     }
-    daemon.admission.enter(errand.deadline).await
+    let verdict = daemon.suspects.check(errand.fingerprint, Instant::now());
+    if verdict == Verdict::Refuse {
+        let detail = "targets crashed twice while they ran this request";
+        return Err(Problem::not_run(Cause::Poisoned, detail));
+    }
+    let demand = Demand {
+        weight: errand.intake.weight,
+        deadline: errand.deadline,
+        suspect: verdict == Verdict::Alone,
+        fingerprint: errand.fingerprint,
+    };
+    check_trust(daemon)?;
+    let slot = daemon.admission.enter(demand).await?;
+    // The process may have stood still while the request waited.
+    if let Err(problem) = check_trust(daemon) {
+        slot.finish(Completion::Cancelled);
+        return Err(problem);
+    }
+    Ok(slot)
+}
+
+/// Refuses work while the daemon's own view may be out of date.
+fn check_trust(daemon: &Daemon) -> Result<(), Problem> {
+    if daemon.trust.holds(Instant::now()) {
+        return Ok(());
+    }
+    let detail = "the daemon is confirming its view";
+    Err(Problem::not_run(Cause::Unconfirmed, detail))
 }
 
 async fn exchange(
@@ -53,10 +82,14 @@
     let (response, connection) = match sent.await {
         Ok(Ok(received)) => received,
         Ok(Err(Failure::NotSent(error))) => {
+            daemon.health.judge(daemon).await;
+            slot.finish(Completion::Reset);
             let detail = format!("target not reached: {error:#}");
             return Reply::Problem(Problem::not_run(Cause::TargetFailed, detail));
         }
         Ok(Err(Failure::Broken(error))) => {
+            daemon.health.judge(daemon).await;
+            slot.finish(Completion::Reset);
             let detail = format!("target broke off: {error:#}");
             return Reply::Problem(Problem::unknown(Cause::TargetFailed, detail));
         }
@@ -65,7 +98,19 @@
             return Reply::Problem(Problem::unknown(Cause::DeadlinePassed, detail));
         }
     };
-    pass_on(daemon, response, connection, slot, deadline).await
+    let reply = pass_on(daemon, response, connection, slot, deadline).await;
+    match &reply {
+        Reply::Answer(_) => {
+            let now = Instant::now();
+            daemon.suspects.completed(daemon, errand.fingerprint, now);
+        }
+        Reply::Problem(problem) if problem.cause == Cause::TargetFailed => {
+            daemon.health.judge(daemon).await;
+        }
+        Reply::Problem(_) => {}
+    }
+    daemon.announce();
+    reply
 }
 
 async fn pass_on(
@@ -81,7 +126,13 @@
     for name in [header::OUTCOME, header::LOAD, header::REPLAYED] {
         parts.headers.remove(name);
     }
+    let completion = if parts.status.is_server_error() {
+        Completion::Failed
+    } else {
+        Completion::Answered
+    };
     let tracked = Tracked {
+        completion,
         incoming,
         held: Some((connection, slot)),
         pool: daemon.pool.clone(),
@@ -108,6 +159,7 @@
 /// An answer's body that holds the slot and the connection until its end.
 struct Tracked {
     incoming: Incoming,
+    completion: Completion,
     held: Option<(Connection, Slot)>,
     pool: Arc<Pool>,
 }
@@ -116,7 +168,7 @@
     fn finish(&mut self) {
         if let Some((connection, slot)) = self.held.take() {
             self.pool.put(connection);
-            drop(slot);
+            slot.finish(self.completion);
         }
     }
 }
@@ -142,7 +194,9 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
-                self.held = None;
+                if let Some((_, slot)) = self.held.take() {
+                    slot.finish(Completion::Reset);
+                }
                 Poll::Ready(Some(Err(error.into())))
             }
             Poll::Pending => Poll::Pending,
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -88,6 +88,11 @@
         "The target is on the ramp of a cold start." "Nothing; work returns with completions.";
     TARGET_WARM 302 Info "target-warm"
         "The target completed its cold start." "Nothing.";
+    TARGET_UP 303 Info "target-up"
+        "The target accepts connections again." "Nothing; it starts on the ramp.";
+    REQUEST_SUSPECT 500 Warning "request-suspect"
+        "The target crashed while it ran this request; after two crashes it is refused."
+        "Look at the target's log for what the request does.";
     EDITS_MISMATCH 600 Warning "edits-mismatch"
         "Edits of a peer did not lead to the announced digest; the whole text is pulled."
         "If it recurs, look for daemons of different builds.";
@@ -100,4 +105,7 @@
         "Look at the network of this host.";
     REJOINED 604 Info "rejoined"
         "A peer or the platform is heard again." "Nothing.";
+    DATAGRAM_MALFORMED 605 Warning "datagram-malformed"
+        "A datagram on the peer port cannot be read; it was ignored."
+        "Look for other software that sends to this port, or for daemons of different builds.";
 }
--- a/crates/basilbay_model/src/kind.rs
+++ b/crates/basilbay_model/src/kind.rs
@@ -29,6 +29,15 @@
     pub fn matches(&self, method: &str, path: &str) -> bool {
         let method_fits =
             self.methods.is_empty() || self.methods.iter().any(|known| &**known == method);
-        method_fits && path.starts_with(&*self.path)
+        method_fits && self.covers(path)
+    }
+
+    /// Whether the path is the kind's own or lies below it: `/fit` covers `/fit/pram` and not
+    /// `/fitness`, which may be a request of another nature.
+    fn covers(&self, path: &str) -> bool {
+        let Some(rest) = path.strip_prefix(&*self.path) else {
+            return false;
+        };
+        rest.is_empty() || rest.starts_with('/') || self.path.ends_with('/')
     }
 }
--- a/crates/basilbay_model/src/service.rs
+++ b/crates/basilbay_model/src/service.rs
@@ -1,5 +1,6 @@
 //! Services and the contract between a service's targets and the daemons beside them.
 
+use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -25,6 +26,18 @@
     TwoChoices,
 }
 
+impl fmt::Display for Policy {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::Basilbay => "basilbay",
+            Self::RoundRobin => "round-robin",
+            Self::Random => "random",
+            Self::LeastInFlight => "least-in-flight",
+            Self::TwoChoices => "two-choices",
+        })
+    }
+}
+
 /// What one target of a service bears.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contract {
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -28,6 +28,32 @@
     Abandoned,
 }
 
+/// Picks that are drawn to estimate each target's share.
+const SHARE_DRAWS: u32 = 1000;
+
+/// What a router thinks of one target, for people.
+#[derive(Clone, Debug)]
+pub struct Prospect {
+    /// The target's instance.
+    pub id: InstanceId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Whether it lies in the own failure domain.
+    pub is_local: bool,
+    /// Whether it may be offered work.
+    pub takes_work: bool,
+    /// Whether its daemon said that it leaves.
+    pub left: bool,
+    /// Whether it is avoided as a straggler.
+    pub is_ejected: bool,
+    /// The newest figures of its daemon.
+    pub load: Load,
+    /// Age of these figures.
+    pub age: Option<Duration>,
+    /// Estimated share of the next requests, in parts per thousand.
+    pub share_permille: u32,
+}
+
 /// Picks targets for the requests of one service.
 pub struct Router {
     /// The service.
@@ -131,6 +157,35 @@
         }
     }
 
+    /// What the router thinks of each target; the estimate of shares changes nothing.
+    pub fn prospects(&mut self, seed: u64, now: Instant) -> Vec<Prospect> {
+        self.board.review(now);
+        self.find_eligible(&[], now);
+        let mut shares = vec![0; self.board.targets.len()];
+        let mut policy = policy::make(self.name, seed);
+        if !self.eligible.is_empty() {
+            for _ in 0..SHARE_DRAWS {
+                shares[policy.pick(&self.board, &self.eligible, now)] += 1;
+            }
+        }
+        let prospects = self.board.targets.iter().zip(shares);
+        prospects
+            .map(|(target, share)| Prospect {
+                id: target.id.clone(),
+                domain: target.domain.clone(),
+                is_local: target.is_local,
+                takes_work: target.takes_work(now),
+                left: target.left,
+                is_ejected: target.ejection.is_active(),
+                load: target.load.clone(),
+                age: target
+                    .heard_at
+                    .map(|heard_at| now.saturating_duration_since(heard_at)),
+                share_permille: share,
+            })
+            .collect()
+    }
+
     /// Takes figures that a target's daemon gave.
     pub fn hear(&mut self, id: &str, load: &Load, now: Instant) {
         self.board.hear(id, load, now);
