Add the fault-injecting proxy and measure the timer

Cause: tests need delays, cuts, half-open connections and partitions between real processes, and the precision of service times was unknown.

The command proxy carries TCP and UDP over named routes whose faults change at run time. The state of a target moved to a module of its own. The example timer_precision measures the timer.

--- /dev/null
+++ b/crates/basilbay_fakes/examples/timer_precision.rs
@@ -0,0 +1,105 @@
+//! Measures how late the timer wakes tasks, beside tokio's own timer, and the processor time it
+//! takes.
+//!
+//! Run with `cargo run --release -p basilbay_fakes --example timer_precision`.
+
+use std::time::{Duration, Instant};
+
+use basilbay_fakes::timer::Timer;
+
+/// Tasks that sleep at the same time, as requests on nine targets would.
+const TASKS: u64 = 40;
+
+/// Sleeps of each task.
+const ROUNDS: u64 = 500;
+
+#[tokio::main(flavor = "multi_thread", worker_threads = 4)]
+async fn main() -> anyhow::Result<()> {
+    let timer = Timer::start()?;
+    for mean_us in [500, 1_000, 5_000, 20_000] {
+        let rounds = ROUNDS * 1_000 / mean_us.max(1_000);
+        measure(
+            "timer",
+            mean_us,
+            rounds,
+            move |at, timer| async move {
+                timer.until(at).await;
+            },
+            &timer,
+        )
+        .await?;
+    }
+    measure(
+        "tokio",
+        1_000,
+        ROUNDS,
+        |at: Instant, _| tokio::time::sleep_until(at.into()),
+        &timer,
+    )
+    .await
+}
+
+async fn measure<S, F>(
+    name: &str,
+    mean_us: u64,
+    rounds: u64,
+    sleep: S,
+    timer: &Timer,
+) -> anyhow::Result<()>
+where
+    S: Fn(Instant, Timer) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let busy = processor_time()?;
+    let start = Instant::now();
+    let tasks: Vec<_> = (0..TASKS)
+        .map(|seed| tokio::spawn(sleeps(seed, mean_us, rounds, sleep.clone(), timer.clone())))
+        .collect();
+    let mut late = Vec::new();
+    for task in tasks {
+        late.extend(task.await?);
+    }
+    late.sort_unstable();
+    let at = |share: f64| late[((late.len() - 1) as f64 * share) as usize];
+    let busy = processor_time()? - busy;
+    let percent = 100.0 * busy.as_secs_f64() / start.elapsed().as_secs_f64();
+    println!(
+        "{name}: mean sleep {mean_us} us, {} sleeps, {:.0}/s; late by us: min {} p50 {} p90 {} \
+         p99 {} max {}; {percent:.0}% of a core",
+        late.len(),
+        late.len() as f64 / start.elapsed().as_secs_f64(),
+        at(0.0),
+        at(0.5),
+        at(0.9),
+        at(0.99),
+        at(1.0),
+    );
+    Ok(())
+}
+
+async fn sleeps<S, F>(seed: u64, mean_us: u64, rounds: u64, sleep: S, timer: Timer) -> Vec<i64>
+where
+    S: Fn(Instant, Timer) -> F,
+    F: Future<Output = ()>,
+{
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut late = Vec::new();
+    for _ in 0..rounds {
+        let at = Instant::now() + Duration::from_micros(random.u64(mean_us / 2..mean_us * 3 / 2));
+        sleep(at, timer.clone()).await;
+        let now = Instant::now();
+        let after = now.saturating_duration_since(at).as_micros() as i64;
+        let before = at.saturating_duration_since(now).as_micros() as i64;
+        late.push(after - before);
+    }
+    late
+}
+
+/// Processor time of this process, from the first two times in `/proc/self/stat`.
+fn processor_time() -> anyhow::Result<Duration> {
+    const TICKS_PER_SECOND: u64 = 100;
+    let text = std::fs::read_to_string("/proc/self/stat")?;
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split(' ').collect();
+    let ticks = fields[12].parse::<u64>()? + fields[13].parse::<u64>()?;
+    Ok(Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND))
+}
--- a/crates/basilbay_fakes/src/command.rs
+++ b/crates/basilbay_fakes/src/command.rs
@@ -8,11 +8,12 @@
 use std::process::ExitCode;
 
 use anyhow::Context;
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::platform::publish::publish;
 use crate::platform::{self, Half, Platform};
+use crate::proxy::{self, Protocol, Proxy, Route};
 use crate::targets::{Fleet, spec};
 
 /// Threads of the runtime: the stand-ins share the machine with the load generator.
@@ -97,6 +98,31 @@
                         .help("Address of the control listener"),
                 ]),
         )
+        .subcommand(
+            Command::new("proxy")
+                .about("Fault-injecting proxy for TCP and UDP")
+                .args(proxy_arguments()),
+        )
+}
+
+fn proxy_arguments() -> [Arg; 5] {
+    [
+        address("listen")
+            .required_unless_present("routes")
+            .requires("to")
+            .help("Address to listen on"),
+        address("to").help("Address that everything goes to"),
+        Arg::new("udp")
+            .long("udp")
+            .action(ArgAction::SetTrue)
+            .help("Carries UDP too, on the same port number"),
+        option_file("routes")
+            .conflicts_with_all(["listen", "to", "udp"])
+            .help("JSON list of routes"),
+        address("control")
+            .default_value("127.0.0.1:0")
+            .help("Address of the control listener"),
+    ]
 }
 
 fn address(name: &'static str) -> Arg {
@@ -135,6 +161,7 @@
         Some(("list", matches)) => run_platform(matches, Half::List).await,
         Some(("publish", matches)) => run_publish(matches).await,
         Some(("targets", matches)) => run_targets(matches).await,
+        Some(("proxy", matches)) => run_proxy(matches).await,
         _ => anyhow::bail!("unknown command"),
     }
 }
@@ -175,6 +202,32 @@
     stopped().await
 }
 
+async fn run_proxy(matches: &ArgMatches) -> anyhow::Result<()> {
+    let routes = match optional_file(matches, "routes") {
+        Some(path) => proxy::read(path)?,
+        None => vec![route(matches)?],
+    };
+    let proxy = Proxy::start(routes, required(matches, "control")?).await?;
+    println!("control {}", proxy.control());
+    for status in proxy.status() {
+        println!("route {} {}", status.name, status.address);
+    }
+    stopped().await
+}
+
+fn route(matches: &ArgMatches) -> anyhow::Result<Route> {
+    let protocol = match matches.get_flag("udp") {
+        true => Protocol::Both,
+        false => Protocol::Tcp,
+    };
+    Ok(Route {
+        name: "route".into(),
+        listen: required(matches, "listen")?,
+        to: required(matches, "to")?,
+        protocol,
+    })
+}
+
 /// An argument that clap requires or has a default for.
 fn required<T: Clone + Send + Sync + 'static>(
     matches: &ArgMatches,
--- a/crates/basilbay_fakes/src/lib.rs
+++ b/crates/basilbay_fakes/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod command;
 pub mod platform;
+pub mod proxy;
 pub mod targets;
 pub mod timer;
 pub mod web;
--- a/crates/basilbay_fakes/src/targets.rs
+++ b/crates/basilbay_fakes/src/targets.rs
@@ -14,6 +14,7 @@
 mod request;
 mod serve;
 pub mod spec;
+mod state;
 mod worker;
 
 use std::net::SocketAddr;
--- a/crates/basilbay_fakes/src/targets/request.rs
+++ b/crates/basilbay_fakes/src/targets/request.rs
@@ -12,7 +12,8 @@
 use super::answer::{self, Answer, Link};
 use super::chain;
 use super::fault::Crash;
-use super::worker::{Call, Refusal, Running, Worker};
+use super::state::Refusal;
+use super::worker::{Call, Running, Worker};
 use crate::web::{self, Closed, Result};
 
 /// What the headers of a request ask for.
