--- a/crates/basilbay_fakes/src/targets.rs
+++ b/crates/basilbay_fakes/src/targets.rs
@@ -114,6 +114,11 @@
         workers.map(|worker| worker.violation()).collect()
     }
 
+    /// Forgets runs and violations.
+    pub fn clear(&self) {
+        self.workers.iter().for_each(|worker| worker.clear());
+    }
+
     fn worker(&self, id: &str) -> Option<&Arc<Worker>> {
         find(&self.workers, id)
     }
