Measure runs by the monotonic clock and count each reset once

Cause: own_answer failed in 1 of 12 runs on a busy machine: the wall time of a run's start was read after its service time had begun, so that the account could state a run as shorter than its service time. The proxy counted a reset for each socket of a connection.

The two clocks are read together, the end is the start plus the monotonic time, and a reset counts once for each connection.

--- a/crates/basilbay_fakes/src/proxy/fault.rs
+++ b/crates/basilbay_fakes/src/proxy/fault.rs
@@ -58,6 +58,6 @@
     pub bytes: u64,
     /// Datagrams passed on, both directions.
     pub datagrams: u64,
-    /// Connections reset on purpose.
+    /// Connections that ended with a reset, whether by a fault or by one of the two sides.
     pub resets: u64,
 }
--- a/crates/basilbay_fakes/src/proxy/stream.rs
+++ b/crates/basilbay_fakes/src/proxy/stream.rs
@@ -61,7 +61,8 @@
         connected = connect => connected.ok(),
     };
     let Some(mut far) = connected else {
-        reset(&link, &near);
+        reset(&near);
+        link.counts.resets.fetch_add(1, Ordering::Relaxed);
         return;
     };
     let passed = tokio::select! {
@@ -69,14 +70,14 @@
         passed = pass(&link, &mut near, &mut far) => passed,
     };
     if passed.is_err() {
-        reset(&link, &near);
-        reset(&link, &far);
+        reset(&near);
+        reset(&far);
+        link.counts.resets.fetch_add(1, Ordering::Relaxed);
     }
 }
 
 /// Makes the coming close a reset: unsent bytes are thrown away.
-fn reset(link: &Link, stream: &TcpStream) {
-    link.counts.resets.fetch_add(1, Ordering::Relaxed);
+fn reset(stream: &TcpStream) {
     // A socket that is already closed needs no reset.
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
--- a/crates/basilbay_fakes/src/targets/worker.rs
+++ b/crates/basilbay_fakes/src/targets/worker.rs
@@ -45,6 +45,7 @@
 pub(super) struct Running {
     worker: Arc<Worker>,
     life: u64,
+    start: Instant,
     run: Option<Run>,
     /// When the work is done.
     pub(super) end: Instant,
@@ -101,6 +102,7 @@
     pub(super) fn begin(self: &Arc<Self>, call: &Call) -> Result<Running, Refusal> {
         let mut state = self.state();
         let now = Instant::now();
+        let start_us = clock::micros();
         state.refuse(&self.spec)?;
         state.in_flight += 1;
         state.remember(now);
@@ -110,10 +112,10 @@
             Some(noise) => noise.end(now, work),
             None => now + work,
         };
-        let start_us = clock::micros();
         Ok(Running {
             worker: self.clone(),
             life: state.life,
+            start: now,
             end,
             run: Some(Run {
                 target: self.spec.id.clone(),
@@ -263,7 +265,9 @@
 
     fn close(&mut self, outcome: Outcome) -> Option<Outcome> {
         let mut run = self.run.take()?;
-        run.end_us = clock::micros();
+        // Measured by the monotonic clock, so that a step of the wall clock changes no run's length.
+        let ran_us = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        run.end_us = run.start_us.saturating_add(ran_us);
         let worker = &self.worker;
         let mut state = worker.state();
         let is_current = state.life == self.life;
--- a/crates/basilbay_fakes/tests/proxy.rs
+++ b/crates/basilbay_fakes/tests/proxy.rs
@@ -142,7 +142,7 @@
     echoed(&mut stream).await.unwrap();
     assert!(echoed(&mut stream).await.is_err());
     let status = &proxy.status()[0];
-    assert_eq!((status.bytes, status.connections), (10, 1));
+    assert_eq!((status.bytes, status.resets), (10, 1));
 }
 
 /// Guards against datagrams that get lost, or that pass a partition.
