--- a/crates/basilbay_admission/tests/gate.rs
+++ b/crates/basilbay_admission/tests/gate.rs
@@ -1,5 +1,8 @@
 //! The gate hands out slots: never more than any limit allows, each request exactly one outcome.
 
+#[path = "support/request.rs"]
+mod request;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -10,24 +13,10 @@
 use basilbay_wire::load::State;
 use basilbay_wire::problem::Cause;
 use proptest::prelude::*;
-
-fn contract(slots: u32, queue: u32, cold_slots: u32, warm_after: u32) -> Contract {
-    Contract {
-        slots,
-        queue,
-        cold_slots,
-        warm_after,
-        ..Contract::default()
-    }
-}
+use request::{actions, contract};
 
 fn ticket(id: u64, now: Instant) -> Ticket {
-    Ticket {
-        id,
-        weight: 1,
-        deadline: now + Duration::from_secs(1),
-        suspect: false,
-    }
+    request::ticket(id, 1, 1000, now)
 }
 
 fn suspect(id: u64, now: Instant) -> Ticket {
@@ -37,10 +26,6 @@
     }
 }
 
-fn actions(gate: &mut Gate) -> Vec<Action> {
-    gate.drain_actions().collect()
-}
-
 /// Guards against a full gate that runs a request, or a freed slot that stays empty.
 #[test]
 fn slots_counted() {
@@ -257,10 +242,8 @@
     fn offer(&mut self, weight: u32, left: u64, suspect: bool) {
         self.next += 1;
         let ticket = Ticket {
-            id: self.next,
-            weight,
-            deadline: self.now + Duration::from_millis(left),
             suspect,
+            ..request::ticket(self.next, weight, left, self.now)
         };
         let decision = self.gate.offer(ticket, self.now);
         // Actions of an offer happen before its decision.
--- a/crates/basilbay_admission/tests/limit.rs
+++ b/crates/basilbay_admission/tests/limit.rs
@@ -3,8 +3,13 @@
 #[path = "support/world.rs"]
 mod world;
 
+use std::time::Duration;
+
 use basilbay_admission::gate::Start;
+use basilbay_admission::limit::{Limit, Sample};
+use basilbay_admission::profile::Profile;
 use basilbay_model::service::Contract;
+use proptest::prelude::*;
 use world::{Kind, World};
 
 const KINDS: [Kind; 1] = [(1, 1.0, 500_000)];
@@ -79,3 +84,34 @@
     println!("share of the throughput {share:.3}");
     assert!(share >= 0.9, "{share:.3} served");
 }
+
+proptest! {
+    /// Guards against a limit of 0 or above the slots of the contract, whatever the samples.
+    #[test]
+    fn stays_bounded(samples in prop::collection::vec((0u64..50, any::<bool>(), 1u32..30), 1..400)) {
+        let mut limit = Limit::new(30);
+        let mut profile = Profile::default();
+        for (order, (millis, failed, slots)) in (0..).zip(samples) {
+            let allowed = limit.allowed();
+            let sample = Sample {
+                order,
+                next: order + 1,
+                service: Duration::from_millis(millis),
+                running: allowed,
+                allowed,
+                warm: true,
+            };
+            if failed {
+                limit.failed(sample, &mut profile);
+            } else {
+                limit.answered(sample, &mut profile);
+            }
+            prop_assert!((1..=30).contains(&limit.allowed()));
+            if order % 50 == 49 {
+                limit.set_slots(slots);
+                prop_assert!(limit.allowed() <= slots);
+                limit.set_slots(30);
+            }
+        }
+    }
+}
--- a/crates/basilbay_admission/tests/probe.rs
+++ b/crates/basilbay_admission/tests/probe.rs
@@ -1,12 +1,15 @@
 //! Measuring costs the target a bounded share of its time, and its reports only lower trust.
 
+#[path = "support/request.rs"]
+mod request;
+
 use std::time::{Duration, Instant};
 
 use basilbay_admission::gate::{Completion, Gate, Start};
 use basilbay_admission::probe::{Budget, Report};
-use basilbay_admission::request::Ticket;
 use basilbay_model::service::Contract;
 use proptest::prelude::*;
+use request::ticket;
 
 fn contract(probe_permille: u32, cost_us: u64) -> Contract {
     Contract {
@@ -96,13 +99,7 @@
     let now = Instant::now();
     let mut gate = Gate::new(&contract(10, 1), Start::Fresh, now);
     for id in 0..4 {
-        let ticket = Ticket {
-            id,
-            weight: 1,
-            deadline: now + Duration::from_secs(1),
-            suspect: false,
-        };
-        gate.offer(ticket, now);
+        gate.offer(ticket(id, 1, 1000, now), now);
     }
     for id in 0..4 {
         gate.complete(id, Completion::Answered, now);
@@ -110,3 +107,20 @@
     gate.observe_report(report(4, 0, true), now);
     assert_eq!(gate.limit(), 18);
 }
+
+/// Guards against a misleading report that outlives the target's answers at the usual speed.
+#[test]
+fn answers_outweigh() {
+    let mut now = Instant::now();
+    let mut gate = Gate::new(&contract(10, 1), Start::Fresh, now);
+    for id in 0..100 {
+        if id == 80 {
+            gate.observe_report(report(0, 0, false), now);
+            assert_eq!(gate.limit(), 9);
+        }
+        gate.offer(ticket(id, 1, 1000, now), now);
+        now += Duration::from_millis(10);
+        gate.complete(id, Completion::Answered, now);
+    }
+    assert_eq!(gate.limit(), 18);
+}
--- a/crates/basilbay_admission/tests/ramp.rs
+++ b/crates/basilbay_admission/tests/ramp.rs
@@ -1,14 +1,16 @@
 //! A cold target is handed what it bears, and one that turns cold is noticed.
 
+#[path = "support/request.rs"]
+mod request;
 #[path = "support/world.rs"]
 mod world;
 
 use std::time::{Duration, Instant};
 
 use basilbay_admission::gate::{Completion, Decision, Gate, Start};
-use basilbay_admission::request::Ticket;
 use basilbay_model::service::Contract;
 use basilbay_wire::load::State;
+use request::ticket;
 use world::{Kind, World};
 
 const KINDS: [Kind; 1] = [(1, 1.0, 500_000)];
@@ -39,12 +41,7 @@
     }
 
     fn offer(&mut self) {
-        let ticket = Ticket {
-            id: self.next,
-            weight: 1,
-            deadline: self.now + Duration::from_secs(9),
-            suspect: false,
-        };
+        let ticket = ticket(self.next, 1, 9000, self.now);
         assert_eq!(self.gate.offer(ticket, self.now), Decision::Run);
         self.running.push(self.next);
         self.next += 1;
--- a/crates/basilbay_admission/tests/restart.rs
+++ b/crates/basilbay_admission/tests/restart.rs
@@ -1,5 +1,7 @@
 //! A daemon that restarts does not know what its target still runs.
 
+#[path = "support/request.rs"]
+mod request;
 #[path = "support/world.rs"]
 mod world;
 
@@ -8,6 +10,7 @@
 use basilbay_admission::gate::{Gate, Start};
 use basilbay_model::service::Contract;
 use basilbay_wire::load::State;
+use request::contract;
 use world::{Kind, World};
 
 const KINDS: [Kind; 1] = [(1, 1.0, 500_000)];
@@ -15,10 +18,7 @@
 /// Guards against a restarted gate that begins at full or cold size.
 #[test]
 fn begins_low() {
-    let contract = Contract {
-        warm_after: 0,
-        ..Contract::default()
-    };
+    let contract = contract(18, 18, 2, 0);
     let now = Instant::now();
     let gate = Gate::new(&contract, Start::Restart, now);
     assert_eq!(gate.limit(), 1);
--- a/crates/basilbay_admission/tests/shedding.rs
+++ b/crates/basilbay_admission/tests/shedding.rs
@@ -1,47 +1,29 @@
 //! Under overload the heaviest requests are served in time, and the rest is told early.
 
+#[path = "support/request.rs"]
+mod request;
 #[path = "support/world.rs"]
 mod world;
 
 use std::time::{Duration, Instant};
 
 use basilbay_admission::gate::{Action, Completion, Decision, Gate, Start};
-use basilbay_admission::request::Ticket;
 use basilbay_model::service::Contract;
 use basilbay_wire::problem::Cause;
+use request::{actions, contract, ticket};
 use world::{Kind, World};
 
 /// Requests a second that 18 slots of 10 ms serve.
 const CAPACITY: f64 = 1800.0;
 
 fn busy_gate(queue: u32, now: Instant) -> Gate {
-    let contract = Contract {
-        slots: 1,
-        cold_slots: 1,
-        warm_after: 0,
-        queue,
-        ..Contract::default()
-    };
-    let mut gate = Gate::new(&contract, Start::Fresh, now);
+    let mut gate = Gate::new(&contract(1, queue, 1, 0), Start::Fresh, now);
     gate.offer(ticket(0, 1, 10_000, now), now);
     gate.complete(0, Completion::Answered, now + Duration::from_millis(10));
     gate.offer(ticket(1, 1, 10_000, now), now);
     gate
 }
 
-fn ticket(id: u64, weight: u32, millis: u64, now: Instant) -> Ticket {
-    Ticket {
-        id,
-        weight,
-        deadline: now + Duration::from_millis(millis),
-        suspect: false,
-    }
-}
-
-fn actions(gate: &mut Gate) -> Vec<Action> {
-    gate.drain_actions().collect()
-}
-
 /// Guards against a heavy request that is refused while a light one waits.
 #[test]
 fn light_gives_way() {
@@ -64,13 +46,7 @@
     for (id, weight) in [(2, 4), (3, 1), (4, 2)] {
         gate.offer(ticket(id, weight, 900, now), now);
     }
-    let contract = Contract {
-        slots: 1,
-        cold_slots: 1,
-        queue: 1,
-        ..Contract::default()
-    };
-    gate.set_contract(&contract, now);
+    gate.set_contract(&contract(1, 1, 1, 0), now);
     let shed = [3, 4].map(|id| Action::Refuse(id, Cause::NoCapacity));
     assert_eq!(actions(&mut gate), shed);
 }
--- /dev/null
+++ b/crates/basilbay_admission/tests/support/request.rs
@@ -0,0 +1,35 @@
+//! Requests and contracts for the tests.
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses a part of it"
+)]
+
+use std::time::{Duration, Instant};
+
+use basilbay_admission::gate::{Action, Gate};
+use basilbay_admission::request::Ticket;
+use basilbay_model::service::Contract;
+
+pub fn ticket(id: u64, weight: u32, millis: u64, now: Instant) -> Ticket {
+    Ticket {
+        id,
+        weight,
+        deadline: now + Duration::from_millis(millis),
+        suspect: false,
+    }
+}
+
+pub fn contract(slots: u32, queue: u32, cold_slots: u32, warm_after: u32) -> Contract {
+    Contract {
+        slots,
+        queue,
+        cold_slots,
+        warm_after,
+        ..Contract::default()
+    }
+}
+
+pub fn actions(gate: &mut Gate) -> Vec<Action> {
+    gate.drain_actions().collect()
+}
