--- a/crates/basilbay_membership/tests/startup.rs
+++ b/crates/basilbay_membership/tests/startup.rs
@@ -9,8 +9,9 @@
 use basilbay_membership::action::Action;
 use basilbay_membership::event::Event;
 use basilbay_membership::standing::{Lack, Standing};
+use basilbay_membership::view::Listing;
 use harness::Fleet;
-use harness::sample::text;
+use harness::sample::{roster, text};
 use proptest::prelude::*;
 
 proptest! {
@@ -86,6 +87,17 @@
     assert!(fleet.nodes[0].1.events.contains(&Event::Rejoined));
 }
 
+// Guards against an old roster that counts as fresh because peers have read a newer one.
+#[test]
+fn age_bound_to_version() {
+    let mut listing = Listing::default();
+    listing.offer(roster(3, &[0; 4], 2));
+    assert!(!listing.hear(4, 900) && !listing.hear(2, 900));
+    assert_eq!(listing.as_of_ms(), 0);
+    assert!(listing.hear(3, 900) && !listing.hear(3, 800));
+    assert_eq!(listing.as_of_ms(), 900);
+}
+
 // Guards against a roster age that follows the version instead of the as-of time.
 #[test]
 fn age_through_peers() {
