--- a/crates/basilbay_fakes/src/targets/request.rs
+++ b/crates/basilbay_fakes/src/targets/request.rs
@@ -12,7 +12,8 @@
 use super::answer::{self, Answer, Link};
 use super::chain;
 use super::fault::Crash;
-use super::worker::{Call, Refusal, Running, Worker};
+use super::state::Refusal;
+use super::worker::{Call, Running, Worker};
 use crate::web::{self, Closed, Result};
 
 /// What the headers of a request ask for.
@@ -123,6 +124,8 @@
 }
 
 /// Waits for the end of the work and of a pause; false when the deadline passes first.
+///
+/// Deadlines are whole milliseconds, so that tokio's timer is precise enough for them.
 async fn wait(worker: &Worker, end: Instant, deadline: Option<Instant>) -> bool {
     let work = async {
         worker.timer.until(end).await;
@@ -132,11 +135,7 @@
         work.await;
         return true;
     };
-    tokio::select! {
-        biased;
-        () = work => true,
-        () = worker.timer.until(deadline) => false,
-    }
+    tokio::time::timeout_at(deadline.into(), work).await.is_ok()
 }
 
 fn reply(
