--- a/crates/basilbay_load/src/account.rs
+++ b/crates/basilbay_load/src/account.rs
@@ -183,7 +183,10 @@
 /// What became of a request, as its caller sees it.
 pub fn classify(record: &Record, stream: &Stream) -> Class {
     let is_late = u128::from(record.took_us) > stream.timeout.as_micros();
-    match record.told() {
+    let last = record.attempts.last().map(|attempt| attempt.told);
+    // Whether an idempotent request ran before is no concern of its caller.
+    let told = last.filter(|_| stream.idempotent).unwrap_or(record.told());
+    match told {
         Told::Answer(200) if !record.is_whole => Class::Foreign,
         Told::Answer(200) if is_late => Class::Late,
         Told::Answer(200) => Class::Answered,
--- a/crates/basilbay_load/src/command.rs
+++ b/crates/basilbay_load/src/command.rs
@@ -1,11 +1,16 @@
 //! The command line of `basilbay-load`.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{ArgMatches, Command};
+use anyhow::Context;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use serde::Serialize;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::demo;
+use crate::compare::{self, Contest, POLICIES};
+use crate::scenario::{Scenario, catalogue};
+use crate::{demo, latency, quick, table};
 
 /// Threads of the runtime that sends the requests.
 const THREADS: usize = 4;
@@ -27,6 +32,68 @@
             Command::new("demo")
                 .about("Caroni's sizes of today while a failure domain goes out and comes back"),
         )
+        .subcommand(
+            Command::new("run")
+                .about("Runs a scenario and checks its limits")
+                .arg(
+                    Arg::new("scenario")
+                        .required(true)
+                        .value_name("SCENARIO")
+                        .help("Name of a built-in scenario, a JSON file, or 'all'"),
+                )
+                .arg(
+                    Arg::new("policy")
+                        .long("policy")
+                        .value_parser(POLICIES)
+                        .help("Policy of all services in place of the file's"),
+                )
+                .args([rounds("1"), json()]),
+        )
+        .subcommand(
+            Command::new("compare")
+                .about("Compares the policies side by side with the bound of an ideal queue")
+                .arg(
+                    Arg::new("scenario")
+                        .long("scenario")
+                        .default_value("noisy")
+                        .help("Load, deployment and noise"),
+                )
+                .args([rounds("3"), json()]),
+        )
+        .subcommand(
+            Command::new("latency")
+                .about("Measures added latency, and the memory and CPU of a daemon")
+                .arg(
+                    Arg::new("seconds")
+                        .long("seconds")
+                        .value_parser(value_parser!(f64))
+                        .default_value("6")
+                        .help("Length of the measurement of each chain"),
+                )
+                .arg(json()),
+        )
+        .subcommand(
+            Command::new("quick")
+                .about("Measures everything that matters in under 50 seconds")
+                .arg(json()),
+        )
+}
+
+fn json() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("Writes the results as JSON")
+}
+
+fn rounds(default: &'static str) -> Arg {
+    Arg::new("rounds")
+        .long("rounds")
+        .value_name("N")
+        .value_parser(value_parser!(u64).range(1..))
+        .default_value(default)
+        .help("How often to run, each time with other arrivals")
 }
 
 /// Runs the program.
@@ -58,10 +125,106 @@
 async fn dispatch(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
     match matches.subcommand() {
         Some(("demo", _)) => demo::run().await,
+        Some(("run", matches)) => run_scenario(matches).await,
+        Some(("compare", matches)) => run_compare(matches).await,
+        Some(("latency", matches)) => run_latency(matches).await,
+        Some(("quick", matches)) => run_quick(matches).await,
         _ => anyhow::bail!("unknown command"),
     }
 }
 
+fn word<'a>(matches: &'a ArgMatches, name: &str) -> anyhow::Result<&'a str> {
+    let word = matches.get_one::<String>(name);
+    word.map(String::as_str)
+        .with_context(|| format!("{name} is missing"))
+}
+
+fn write_json(matches: &ArgMatches, result: &impl Serialize) -> anyhow::Result<()> {
+    let Some(path) = matches.get_one::<PathBuf>("json") else {
+        return Ok(());
+    };
+    std::fs::write(path, serde_json::to_vec_pretty(result)?)
+        .with_context(|| format!("cannot write {}", path.display()))
+}
+
+fn code(holds: bool) -> ExitCode {
+    println!("verdict: {}", if holds { "passed" } else { "failed" });
+    if holds {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+async fn run_scenario(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let name = word(matches, "scenario")?;
+    let policy = matches.get_one::<String>("policy").map(String::as_str);
+    let rounds = matches.get_one::<u64>("rounds").copied().unwrap_or(1);
+    let names = match name {
+        "all" => catalogue::all(),
+        name => vec![name],
+    };
+    let mut holds = true;
+    let mut results = Vec::new();
+    for name in names {
+        let scenario = Scenario::find(name)?;
+        for round in 0..rounds {
+            eprintln!("scenario {name}, round {}: {}", round + 1, scenario.about);
+            let (trial, verdict) = scenario.run(policy, round).await?;
+            println!("{}", table::account(&trial.account));
+            for check in &verdict.checks {
+                println!("{}", check.line());
+            }
+            println!();
+            holds &= verdict.holds();
+            results.push((name.to_owned(), round, trial.account, verdict));
+        }
+    }
+    write_json(matches, &results)?;
+    Ok(code(holds))
+}
+
+async fn run_compare(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let scenario = Scenario::find(word(matches, "scenario")?)?;
+    let contest = Contest {
+        noise: quick::noise(&scenario),
+        scenario,
+        policies: POLICIES.to_vec(),
+        rounds: matches.get_one::<u64>("rounds").copied().unwrap_or(1),
+    };
+    let comparison = compare::run(&contest).await?;
+    println!(
+        "{:.0} calls/s; medians of {} rounds",
+        comparison.rate, contest.rounds
+    );
+    println!("{}", comparison.table());
+    for other in &POLICIES[..4] {
+        let ratio = comparison.ratio(other).unwrap_or(f64::NAN);
+        println!("p99 of basilbay by that of {other}: {ratio:.2}");
+    }
+    write_json(matches, &comparison)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn run_latency(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let seconds = matches.get_one::<f64>("seconds").copied().unwrap_or(1.0);
+    let report = latency::run(seconds, &latency::DEPTHS, true).await?;
+    println!("{}", report.table());
+    write_json(matches, &report)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn run_quick(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let quick = quick::run().await?;
+    println!("{}", quick.text());
+    write_json(matches, &quick)?;
+    Ok(if quick.holds() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
 /// Waits for SIGINT, SIGTERM or the end of the terminal.
 async fn interrupted() -> anyhow::Result<()> {
     let mut interrupt = signal(SignalKind::interrupt())?;
--- /dev/null
+++ b/crates/basilbay_load/src/compare.rs
@@ -0,0 +1,223 @@
+//! `compare`: the policies side by side on one fleet, interleaved, over several rounds.
+//!
+//! The same arrivals are used for all policies of a round. Each policy is put in force by
+//! publishing the configuration, so everything else stays as it is.
+
+use std::time::Duration;
+
+use basilbay_fakes::targets::fault::{Change, Noise};
+use serde::{Deserialize, Serialize};
+
+use crate::account::row::Latency;
+use crate::client::{Crowd, Settings};
+use crate::fleet::Fleet;
+use crate::scenario::Scenario;
+use crate::{ideal, table, trial};
+
+/// Result of a comparison.
+pub type Result<T> = anyhow::Result<T>;
+
+/// All policies, baselines first.
+pub const POLICIES: [&str; 5] = [
+    "round-robin",
+    "random",
+    "least-in-flight",
+    "two-choices",
+    "basilbay",
+];
+
+/// Time that a published policy has to reach all daemons before the load starts.
+const IN_FORCE: Duration = Duration::from_millis(1_000);
+
+/// What is compared.
+#[derive(Clone, Debug)]
+pub struct Contest {
+    /// Load and deployment; its events are not used.
+    pub scenario: Scenario,
+    /// Noise of the targets.
+    pub noise: Option<Noise>,
+    /// Policies.
+    pub policies: Vec<&'static str>,
+    /// Rounds.
+    pub rounds: u64,
+}
+
+/// Latencies of one policy, one entry a round.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Series {
+    /// The policy, or the ideal queue.
+    pub policy: String,
+    /// Latencies.
+    pub rounds: Vec<Latency>,
+    /// Weighted goodput of each round.
+    pub goodput: Vec<f64>,
+    /// Broken rules in all rounds.
+    pub violations: u64,
+    /// Worst p99 of the arrivals' lag, in us.
+    pub lag_p99_us: u64,
+}
+
+impl Series {
+    fn new(policy: &str) -> Self {
+        Self {
+            policy: policy.to_owned(),
+            rounds: Vec::new(),
+            goodput: Vec::new(),
+            violations: 0,
+            lag_p99_us: 0,
+        }
+    }
+
+    /// Median over the rounds of one percentile.
+    pub fn median(&self, of: impl Fn(&Latency) -> f64) -> f64 {
+        let mut values: Vec<f64> = self.rounds.iter().map(of).collect();
+        values.sort_by(f64::total_cmp);
+        values.get(values.len() / 2).copied().unwrap_or(0.0)
+    }
+}
+
+/// The result of a comparison.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Comparison {
+    /// Ideal queue first, then the policies.
+    pub series: Vec<Series>,
+    /// Calls a second.
+    pub rate: f64,
+}
+
+impl Comparison {
+    /// The series of a policy.
+    pub fn series(&self, policy: &str) -> Option<&Series> {
+        self.series.iter().find(|series| series.policy == policy)
+    }
+
+    /// Median p99 of basilbay as a part of that of another policy.
+    pub fn ratio(&self, other: &str) -> Option<f64> {
+        let own = self.series("basilbay")?.median(|latency| latency.p99);
+        let other = self.series(other)?.median(|latency| latency.p99);
+        Some(own / other)
+    }
+
+    /// The table for the screen; spread is lowest to highest of the rounds.
+    pub fn table(&self) -> String {
+        let header = [
+            "policy",
+            "p50 ms",
+            "p95 ms",
+            "p99 ms",
+            "p99 spread",
+            "p99.9 ms",
+            "weighted",
+            "violations",
+        ];
+        let rows: Vec<Vec<String>> = self.series.iter().map(line).collect();
+        table::lay_out(&header, &rows)
+    }
+}
+
+fn line(series: &Series) -> Vec<String> {
+    let p99 = series.rounds.iter().map(|latency| latency.p99);
+    let lowest = p99.clone().fold(f64::INFINITY, f64::min);
+    let highest = p99.fold(0.0, f64::max);
+    let goodput = series.goodput.iter().sum::<f64>() / series.goodput.len().max(1) as f64;
+    vec![
+        series.policy.clone(),
+        table::ms(series.median(|latency| latency.p50)),
+        table::ms(series.median(|latency| latency.p95)),
+        table::ms(series.median(|latency| latency.p99)),
+        format!("{lowest:.1}-{highest:.1}"),
+        table::ms(series.median(|latency| latency.p999)),
+        format!("{:.2}%", goodput * 100.0),
+        series.violations.to_string(),
+    ]
+}
+
+/// Runs a comparison; the order of the policies turns from round to round.
+pub async fn run(contest: &Contest) -> Result<Comparison> {
+    let deployment = contest.scenario.deployment(None)?;
+    let mut fleet = Fleet::start(deployment.clone()).await?;
+    let mut crowd = Crowd::connect(Settings::new("compare"), &fleet.entries()).await?;
+    trial::warm_up(&mut fleet, &mut crowd).await?;
+    let mut bound = Series::new("ideal queue");
+    let mut series: Vec<Series> = contest
+        .policies
+        .iter()
+        .map(|name| Series::new(name))
+        .collect();
+    let mut rate = 0.0;
+    for round in 0..contest.rounds {
+        let plan = contest.scenario.plan(&deployment, round)?;
+        rate = plan.arrivals.len() as f64 / plan.duration.as_secs_f64();
+        bound
+            .rounds
+            .push(percentiles(&ideal::bound(&deployment, &plan, round + 1)));
+        bound.goodput.push(1.0);
+        let count = series.len();
+        for turn in 0..count {
+            let series = &mut series[(turn + round as usize) % count];
+            publish(&mut fleet, &series.policy).await?;
+            quiet(&fleet, contest.noise).await?;
+            tokio::time::sleep(IN_FORCE).await;
+            crowd.rename(&format!("{}-{round}", series.policy));
+            let trial = trial::run(&mut fleet, &crowd, &plan, async |_: &mut Fleet| Ok(())).await?;
+            let account = trial.account;
+            eprintln!(
+                "  round {} of {}: {}: p99 {:.1} ms",
+                round + 1,
+                contest.rounds,
+                series.policy,
+                account.all.latency.p99
+            );
+            series.rounds.push(account.all.latency);
+            series.goodput.push(account.all.goodput());
+            series.violations += account.breaches.total();
+            series.lag_p99_us = series.lag_p99_us.max(account.lag_us[1]);
+        }
+    }
+    fleet.stop();
+    series.insert(0, bound);
+    Ok(Comparison { series, rate })
+}
+
+async fn publish(fleet: &mut Fleet, policy: &str) -> Result<()> {
+    let staff = fleet.deployment.staff.iter();
+    let sections: Vec<String> = staff
+        .map(|staff| format!("service {}", staff.service))
+        .collect();
+    let changes: Vec<_> = sections
+        .iter()
+        .map(|section| (&**section, "policy", policy))
+        .collect();
+    fleet.change(&changes).await?;
+    Ok(())
+}
+
+/// Starts the noise anew from each target's seed, and ends what former rounds left behind.
+async fn quiet(fleet: &Fleet, noise: Option<Noise>) -> Result<()> {
+    let none = Noise {
+        factor: 1.0,
+        interval_ms: 1.0,
+        duration_ms: 1.0,
+    };
+    let change = Change {
+        warm: Some(true),
+        noise: Some(noise.unwrap_or(none)),
+        ..Change::default()
+    };
+    fleet.change_targets(&change).await
+}
+
+fn percentiles(sorted: &[Duration]) -> Latency {
+    let at = |share: f64| {
+        let index = (sorted.len() as f64 * share) as usize;
+        let value = sorted.get(index.min(sorted.len().saturating_sub(1)));
+        value.copied().unwrap_or_default().as_secs_f64() * 1000.0
+    };
+    Latency {
+        p50: at(0.5),
+        p95: at(0.95),
+        p99: at(0.99),
+        p999: at(0.999),
+        max: at(1.0),
+    }
+}
--- a/crates/basilbay_load/src/demo.rs
+++ b/crates/basilbay_load/src/demo.rs
@@ -5,12 +5,11 @@
 
 use anyhow::Context;
 
-use crate::account::{Account, Evidence};
 use crate::client::{Crowd, Settings};
 use crate::deployment::Deployment;
 use crate::fleet::Fleet;
 use crate::plan::{Plan, Stream};
-use crate::table;
+use crate::{table, trial};
 
 /// Part of the capacity; with one of four domains out two thirds of the rest are used.
 const LOAD: f64 = 0.5;
@@ -28,24 +27,23 @@
     let deployment = Deployment::named("caroni")?;
     println!("starting 14 targets and their daemons in four failure domains");
     let mut fleet = Fleet::start(deployment).await?;
-    fleet.ready_for_keys().await;
     let streams = Stream::of(&fleet.deployment, LOAD, KEYED);
     let rate: f64 = streams.iter().map(|stream| stream.rate).sum();
     let plan = Plan::draw(streams, DURATION, &[], SEED);
-    let crowd = Crowd::connect(Settings::new("demo"), &fleet.entries()).await?;
-    fleet.clear_runs().await?;
+    let mut crowd = Crowd::connect(Settings::new("demo"), &fleet.entries()).await?;
+    println!("warming up");
+    trial::warm_up(&mut fleet, &mut crowd).await?;
+    fleet.ready_for_keys().await;
+    crowd.rename("demo");
     println!("sending {rate:.0} calls/s for {} s", DURATION.as_secs());
-    let drive = drive(&mut fleet);
-    let (records, driven) = tokio::join!(crowd.run(&plan), drive);
-    driven?;
-    let records = records?;
-    let account = account(&fleet, &plan, &records).await?;
+    let trial = trial::run(&mut fleet, &crowd, &plan, drive).await?;
+    let account = trial.account;
     drop(crowd);
     let killed = fleet.stop();
     println!("\n{}", table::account(&account));
     println!(
         "{} requests, {} runs at the targets",
-        records.len(),
+        trial.records.len(),
         account.runs
     );
     if !killed.is_empty() {
@@ -72,25 +70,3 @@
     );
     fleet.domain_in(&domain).await
 }
-
-/// Reads what the targets ran and draws up the account.
-pub async fn account(
-    fleet: &Fleet,
-    plan: &Plan,
-    records: &[crate::client::record::Record],
-) -> anyhow::Result<Account> {
-    let runs = fleet.runs().await?;
-    let violations = fleet.violations().await?;
-    let members = fleet.members.iter();
-    let domains: Vec<_> = members
-        .map(|member| (member.target.clone(), member.domain.clone()))
-        .collect();
-    Ok(Account::new(&Evidence {
-        streams: &plan.streams,
-        records,
-        runs: &runs,
-        violations: &violations,
-        events: &fleet.events,
-        domains: &domains,
-    }))
-}
--- a/crates/basilbay_load/src/deployment.rs
+++ b/crates/basilbay_load/src/deployment.rs
@@ -8,6 +8,8 @@
 use basilbay_model::config::Config;
 use basilbay_model::id::{DomainId, KindId, ServiceId};
 
+use crate::plan::Stream;
+
 /// Result of reading a deployment.
 pub type Result<T> = anyhow::Result<T>;
 
@@ -158,6 +160,47 @@
         Ok(self)
     }
 
+    /// The same with other slots per worker, so that a given load needs fewer calls.
+    ///
+    /// Targets warm after proportionally fewer answers, so that warming takes as long as before.
+    pub fn with_slots(mut self, slots: u32) -> Result<Self> {
+        let mut text = self.text.to_string();
+        for staff in &self.staff {
+            let service = self.config.service(&staff.service);
+            let contract = &service.context("staff of an unknown service")?.contract;
+            let warm_after = contract.warm_after * slots / contract.slots;
+            let section = format!("service {}", staff.service);
+            for (key, value) in [
+                ("slots", slots),
+                ("queue", slots),
+                ("cold_slots", contract.cold_slots.min(slots)),
+                ("warm_after", warm_after),
+            ] {
+                text = set(&text, &section, key, &value.to_string());
+            }
+        }
+        self.config = Arc::new(Config::parse(&self.name, &text)?);
+        self.text = Arc::from(text);
+        Ok(self)
+    }
+
+    /// The same with service times multiplied by a factor.
+    pub fn scaled(mut self, factor: f64) -> Self {
+        for work in self.staff.iter_mut().flat_map(|staff| &mut staff.work) {
+            work.time.median_us = (work.time.median_us as f64 * factor) as u64;
+        }
+        self
+    }
+
+    /// Weight that the whole deployment can answer in a second when it is just full.
+    pub fn weight_capacity(&self) -> f64 {
+        let streams = Stream::of(self, 1.0, 0.0);
+        let weights = streams
+            .iter()
+            .map(|stream| stream.rate * f64::from(stream.weight));
+        weights.sum()
+    }
+
     /// Ids of the failure domains.
     pub fn domains(&self) -> Vec<DomainId> {
         let domains = self.config.domains.iter();
--- /dev/null
+++ b/crates/basilbay_load/src/ideal.rs
@@ -0,0 +1,64 @@
+//! The bound of an ideal central queue: no policy can finish the same work sooner on average.
+//!
+//! All slots of a service serve one queue in the order of arrival, without any delay between
+//! caller and target. The calculation replays arrivals and service times and is exact for them.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use fastrand::Rng;
+
+use crate::deployment::Deployment;
+use crate::plan::Plan;
+
+/// Latency of each job, in the order of the arrivals.
+///
+/// `jobs` are arrivals, in order, with the time that each one runs.
+pub fn latencies(jobs: &[(Duration, Duration)], slots: usize) -> Vec<Duration> {
+    let mut free: BinaryHeap<Reverse<Duration>> = BinaryHeap::new();
+    let mut latencies = Vec::with_capacity(jobs.len());
+    for (arrival, work) in jobs {
+        let earliest = if free.len() < slots.max(1) {
+            *arrival
+        } else {
+            free.pop().map_or(*arrival, |Reverse(at)| at)
+        };
+        let end = earliest.max(*arrival) + *work;
+        free.push(Reverse(end));
+        latencies.push(end - *arrival);
+    }
+    latencies
+}
+
+/// Latencies of a plan on the pooled slots of each service, with drawn service times, sorted.
+pub fn bound(deployment: &Deployment, plan: &Plan, seed: u64) -> Vec<Duration> {
+    let mut all = Vec::new();
+    for staff in &deployment.staff {
+        let mut rng = Rng::with_seed(seed);
+        let mut jobs = Vec::new();
+        for arrival in &plan.arrivals {
+            let stream = &plan.streams[arrival.stream];
+            if stream.service != staff.service {
+                continue;
+            }
+            let Some(work) = staff.work.iter().find(|work| work.kind == stream.kind) else {
+                continue;
+            };
+            let spread = (work.time.sigma * normal(&mut rng)).exp();
+            let median = Duration::from_micros(work.time.median_us);
+            jobs.push((arrival.at, median.mul_f64(spread)));
+        }
+        let service = deployment.config.service(&staff.service);
+        let slots = service.map_or(0, |service| service.contract.slots) as usize;
+        all.extend(latencies(&jobs, slots * staff.workers));
+    }
+    all.sort_unstable();
+    all
+}
+
+/// A standard normal number, by the Box-Muller transform.
+fn normal(rng: &mut Rng) -> f64 {
+    let radius = (-2.0 * (1.0 - rng.f64()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.f64()).cos()
+}
--- /dev/null
+++ b/crates/basilbay_load/src/latency.rs
@@ -0,0 +1,211 @@
+//! `latency`: what basilbay adds to a call, and what a daemon costs.
+//!
+//! The same calls go straight to targets and through basilbay in turn, over kept connections and
+//! to targets that answer at once, so that the difference is the added latency. Straight chains
+//! use targets of their own that call each other without a daemon between.
+
+pub mod cost;
+mod straight;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use basilbay_fakes::targets::answer;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::header::HOST;
+use serde::{Deserialize, Serialize};
+
+use crate::account::row::{Latency, histogram};
+use crate::client::door::Door;
+use crate::deployment::Deployment;
+use crate::fleet::Fleet;
+use crate::table;
+
+/// Result of a measurement.
+pub type Result<T> = anyhow::Result<T>;
+
+/// Service of the measurement.
+const SERVICE: &str = "echo";
+
+/// Targets and daemons.
+const WORKERS: usize = 4;
+
+/// Time from one pair of calls to the next.
+const PAUSE: Duration = Duration::from_millis(4);
+
+/// Depths of the measured chains.
+pub const DEPTHS: [usize; 3] = [1, 4, 12];
+
+const TEXT: &str = "[basilbay]\nversion = 1\n\n[domain d1]\n\n[domain d2]\n\n[service echo]\n\
+                    connections = 200\n\n[kind echo/call]\npath = /\nidempotent = yes\n";
+
+/// Latencies of one depth, in ms.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Pair {
+    /// Calls in a chain.
+    pub depth: usize,
+    /// Measured calls each way.
+    pub calls: u64,
+    /// Without basilbay.
+    pub straight: Latency,
+    /// Through basilbay.
+    pub through: Latency,
+}
+
+impl Pair {
+    /// Added to the median, in ms.
+    pub fn added_p50(&self) -> f64 {
+        self.through.p50 - self.straight.p50
+    }
+
+    /// Added to the 99th percentile, in ms.
+    pub fn added_p99(&self) -> f64 {
+        self.through.p99 - self.straight.p99
+    }
+}
+
+/// The whole measurement.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// By depth.
+    pub pairs: Vec<Pair>,
+    /// Cost of one daemon.
+    pub costs: Vec<cost::Cost>,
+}
+
+impl Report {
+    /// The tables for the screen.
+    pub fn table(&self) -> String {
+        let header = [
+            "chain",
+            "calls",
+            "straight p50",
+            "p99",
+            "through p50",
+            "p99",
+            "added p50 ms",
+            "added p99 ms",
+        ];
+        let rows: Vec<Vec<String>> = self.pairs.iter().map(line).collect();
+        let mut text = table::lay_out(&header, &rows);
+        if !self.costs.is_empty() {
+            text.push_str("\n\n");
+            text.push_str(&cost::table(&self.costs));
+        }
+        text
+    }
+}
+
+fn line(pair: &Pair) -> Vec<String> {
+    let figure = |value: f64| format!("{value:.3}");
+    vec![
+        pair.depth.to_string(),
+        pair.calls.to_string(),
+        figure(pair.straight.p50),
+        figure(pair.straight.p99),
+        figure(pair.through.p50),
+        figure(pair.through.p99),
+        figure(pair.added_p50()),
+        figure(pair.added_p99()),
+    ]
+}
+
+/// A deployment of targets that answer at once.
+pub fn deployment() -> Result<Deployment> {
+    Deployment::new("latency", TEXT, &[(SERVICE, WORKERS, &[("call", 1.0, 0)])])
+}
+
+/// Measures added latency for some seconds a depth, and the cost of a daemon if asked for.
+pub async fn run(seconds: f64, depths: &[usize], with_cost: bool) -> Result<Report> {
+    let mut fleet = Fleet::start(deployment()?).await?;
+    let line = straight::Line::start(WORKERS, SERVICE)?;
+    let mut pairs = Vec::new();
+    for depth in depths {
+        eprintln!("  chains of {depth}: {seconds} s");
+        pairs.push(pair(&fleet, &line, *depth, seconds).await?);
+    }
+    let costs = if with_cost {
+        cost::measure(&mut fleet).await?
+    } else {
+        Vec::new()
+    };
+    fleet.stop();
+    Ok(Report { pairs, costs })
+}
+
+/// Alternates between the two ways, over one connection to each daemon and target.
+async fn pair(fleet: &Fleet, line: &straight::Line, depth: usize, seconds: f64) -> Result<Pair> {
+    let through = doors(&fleet.entries()).await?;
+    let straight = doors(&line.addresses).await?;
+    let chain = vec![SERVICE; depth.saturating_sub(1)].join(",");
+    let chain = Arc::<str>::from(chain);
+    let mut histograms = [histogram(), histogram()];
+    let until = Instant::now() + Duration::from_secs_f64(seconds);
+    let mut number = 0;
+    while Instant::now() < until {
+        let index = number % WORKERS;
+        let ways = [&straight[index], &through[index]];
+        for turn in 0..2 {
+            // The order changes, so that neither way always finds the caches warm.
+            let way = (turn + number / WORKERS) % 2;
+            let took = call(ways[way], &chain).await?;
+            // Connections, pools and load figures settle during the first calls.
+            let counted = histograms[way].as_mut().filter(|_| number >= 10 * WORKERS);
+            if let Some(histogram) = counted {
+                histogram.saturating_record(took.as_micros() as u64);
+            }
+        }
+        number += 1;
+        tokio::time::sleep(PAUSE).await;
+    }
+    let latency = |histogram: &Option<Histogram<u64>>| {
+        histogram.as_ref().map(Latency::of).unwrap_or_default()
+    };
+    Ok(Pair {
+        depth,
+        calls: histograms[0].as_ref().map_or(0, Histogram::len),
+        straight: latency(&histograms[0]),
+        through: latency(&histograms[1]),
+    })
+}
+
+async fn doors(addresses: &[SocketAddr]) -> Result<Vec<Door>> {
+    let mut doors = Vec::new();
+    for address in addresses {
+        let door = Door::new(*address, false);
+        door.fill(1).await?;
+        doors.push(door);
+    }
+    Ok(doors)
+}
+
+/// One call; the time ends with the last byte of the answer.
+pub(crate) async fn call(door: &Door, chain: &str) -> Result<Duration> {
+    let mut builder = Request::builder()
+        .method("GET")
+        .uri("/")
+        .header(HOST, SERVICE)
+        .header(answer::REQUEST_ID, "latency");
+    if !chain.is_empty() {
+        builder = builder.header(answer::CHAIN, chain);
+    }
+    let request = builder.body(Full::new(Bytes::new()))?;
+    let start = Instant::now();
+    let sent = door.send(request).await;
+    let (response, lease) = sent.map_err(|failure| anyhow::anyhow!("no answer: {failure:?}"))?;
+    let status = response.status();
+    let body = response.into_body().collect().await?;
+    let took = start.elapsed();
+    door.give_back(lease);
+    let text = body.to_bytes();
+    anyhow::ensure!(
+        status == 200,
+        "{status}: {}",
+        String::from_utf8_lossy(&text)
+    );
+    Ok(took)
+}
--- /dev/null
+++ b/crates/basilbay_load/src/latency/cost.rs
@@ -0,0 +1,143 @@
+//! Memory and CPU of a daemon, as the kernel counts them.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use serde::{Deserialize, Serialize};
+
+use super::{Result, call};
+use crate::client::door::Door;
+use crate::fleet::Fleet;
+use crate::table;
+
+/// Length of one stretch.
+const STRETCH: Duration = Duration::from_secs(3);
+
+/// Time between two calls of the moderate stretch.
+const PACE: Duration = Duration::from_millis(10);
+
+/// Calls in flight at the highest rate.
+const CROWD: usize = 64;
+
+/// Cost of one daemon over one stretch.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Cost {
+    /// What callers did.
+    pub load: String,
+    /// Calls a second.
+    pub rate: f64,
+    /// CPU time by wall time; 1 is a whole core.
+    pub cores: f64,
+    /// Resident memory at the end, in MB.
+    pub resident_mb: f64,
+}
+
+/// The table for the screen.
+pub fn table(costs: &[Cost]) -> String {
+    let rows = costs.iter().map(|cost| {
+        vec![
+            cost.load.clone(),
+            format!("{:.0}", cost.rate),
+            format!("{:.2}%", cost.cores * 100.0),
+            format!("{:.1}", cost.resident_mb),
+        ]
+    });
+    let rows: Vec<Vec<String>> = rows.collect();
+    table::lay_out(
+        &["one daemon", "calls/s", "% of a core", "resident MB"],
+        &rows,
+    )
+}
+
+/// Measures the first daemon: idle, at 100 calls/s, and with as many calls as it takes.
+pub async fn measure(fleet: &mut Fleet) -> Result<Vec<Cost>> {
+    let process = fleet.process_id(0).context("no daemon")?;
+    let entry = fleet.members[0].callers;
+    let mut costs = Vec::new();
+    eprintln!("  one daemon: idle");
+    costs.push(stretch("idle", process, async { Ok(0) }).await?);
+    eprintln!("  one daemon: 100 calls/s");
+    let door = Arc::new(Door::new(entry, false));
+    costs.push(stretch("100 calls/s", process, paced(&door)).await?);
+    eprintln!("  one daemon: highest rate");
+    costs.push(stretch("highest rate, 64 in flight", process, crowd(&door)).await?);
+    Ok(costs)
+}
+
+async fn stretch(
+    load: &str,
+    process: u32,
+    calls: impl Future<Output = Result<u64>>,
+) -> Result<Cost> {
+    let start = Instant::now();
+    let before = cpu(process)?;
+    let calls = calls.await?;
+    tokio::time::sleep(STRETCH.saturating_sub(start.elapsed())).await;
+    let wall = start.elapsed().as_secs_f64();
+    Ok(Cost {
+        load: load.to_owned(),
+        rate: calls as f64 / wall,
+        cores: (cpu(process)? - before).as_secs_f64() / wall,
+        resident_mb: resident(process)?,
+    })
+}
+
+async fn paced(door: &Door) -> Result<u64> {
+    let mut ticks = tokio::time::interval(PACE);
+    let until = Instant::now() + STRETCH;
+    let mut calls = 0;
+    while Instant::now() < until {
+        ticks.tick().await;
+        call(door, "").await?;
+        calls += 1;
+    }
+    Ok(calls)
+}
+
+async fn crowd(door: &Arc<Door>) -> Result<u64> {
+    let calls = Arc::new(AtomicU64::new(0));
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut tasks = Vec::new();
+    for _ in 0..CROWD {
+        let (door, calls, stop) = (door.clone(), calls.clone(), stop.clone());
+        tasks.push(tokio::spawn(async move {
+            while !stop.load(Ordering::Relaxed) {
+                // Refusals at the limit are not calls that the daemon carried.
+                if call(&door, "").await.is_ok() {
+                    calls.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        }));
+    }
+    tokio::time::sleep(STRETCH).await;
+    stop.store(true, Ordering::Relaxed);
+    for task in tasks {
+        task.await?;
+    }
+    Ok(calls.load(Ordering::Relaxed))
+}
+
+/// CPU time of all threads that run or ran in a process.
+pub fn cpu(process: u32) -> Result<Duration> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/stat"))?;
+    // The name of the program is in brackets and may hold spaces.
+    let (_, rest) = text.rsplit_once(')').context("no process name")?;
+    let fields: Vec<&str> = rest.split_whitespace().collect();
+    let user: u64 = fields.get(11).context("no user time")?.parse()?;
+    let system: u64 = fields.get(12).context("no system time")?.parse()?;
+    let ticks = rustix::param::clock_ticks_per_second().max(1);
+    Ok(Duration::from_secs_f64(
+        (user + system) as f64 / ticks as f64,
+    ))
+}
+
+/// Resident memory of a process in MB.
+pub fn resident(process: u32) -> Result<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let value = line.and_then(|line| line.split_whitespace().next());
+    let kilobytes: f64 = value.context("no VmRSS")?.parse()?;
+    Ok(kilobytes / 1024.0)
+}
--- /dev/null
+++ b/crates/basilbay_load/src/latency/straight.rs
@@ -0,0 +1,51 @@
+//! Targets that call each other without daemons between, to measure against.
+
+use std::net::SocketAddr;
+
+use anyhow::Context;
+use basilbay_fakes::targets::spec::{Cold, Target};
+use tempfile::TempDir;
+
+use super::Result;
+use crate::fleet::port;
+use crate::fleet::process::{Process, beside};
+
+/// A process of such targets.
+pub(super) struct Line {
+    pub(super) addresses: Vec<SocketAddr>,
+    _process: Process,
+    _folder: TempDir,
+}
+
+impl Line {
+    pub(super) fn start(count: usize, service: &str) -> Result<Self> {
+        let addresses = port::free(count)?;
+        let targets = addresses.iter().enumerate().map(|(index, address)| {
+            let mut target = Target::new(&format!("straight-{index}"), service, 0);
+            target.listen = *address;
+            target.connections = 1000;
+            target.cold = Cold {
+                warm_after: 0,
+                ..Cold::default()
+            };
+            target.entry = addresses.get((index + 1) % count).copied();
+            target
+        });
+        let targets: Vec<Target> = targets.collect();
+        let folder = tempfile::Builder::new()
+            .prefix("basilbay-load-")
+            .tempdir()?;
+        let spec = folder.path().join("straight.json");
+        std::fs::write(&spec, serde_json::to_vec(&targets)?)?;
+        let spec = spec.display().to_string();
+        let log = folder.path().join("straight.log");
+        let arguments = ["targets", "--spec", &spec];
+        let mut process = Process::start(&beside("basilbay-fakes")?, &arguments, &log)?;
+        process.lines(1 + count).context("straight targets")?;
+        Ok(Self {
+            addresses,
+            _process: process,
+            _folder: folder,
+        })
+    }
+}
--- a/crates/basilbay_load/src/lib.rs
+++ b/crates/basilbay_load/src/lib.rs
@@ -7,8 +7,14 @@
 pub mod account;
 pub mod client;
 pub mod command;
+pub mod compare;
 pub mod demo;
 pub mod deployment;
 pub mod fleet;
+pub mod ideal;
+pub mod latency;
 pub mod plan;
+pub mod quick;
+pub mod scenario;
 pub mod table;
+pub mod trial;
--- /dev/null
+++ b/crates/basilbay_load/src/scenario.rs
@@ -0,0 +1,197 @@
+//! Scenarios: a deployment, load, things that happen at times, and the limits that must hold.
+//!
+//! The files under `scenarios/` are built in by name; any other file can be named by its path.
+
+pub mod act;
+pub mod catalogue;
+pub mod verdict;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use serde::{Deserialize, Serialize};
+
+use crate::client::{Crowd, Settings};
+use crate::deployment::Deployment;
+use crate::fleet::Fleet;
+use crate::plan::{Plan, Step, Stream};
+use crate::trial::{self, Trial};
+use act::Act;
+use verdict::{Limit, Verdict};
+
+/// Result of a scenario.
+pub type Result<T> = anyhow::Result<T>;
+
+/// Seed of scenarios that name none.
+const SEED: u64 = 20_261_204;
+
+/// Something that happens at a time.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Event {
+    /// Milliseconds from the start of the load.
+    pub at_ms: u64,
+    /// What is done.
+    pub act: Act,
+}
+
+/// Requests beside those of the deployment's mix.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Extra {
+    /// Service.
+    pub service: Arc<str>,
+    /// Kind.
+    pub kind: Arc<str>,
+    /// Requests a second.
+    pub rate: f64,
+    /// Part that carries a key.
+    #[serde(default)]
+    pub keyed: f64,
+    /// Bytes of each answer after its JSON.
+    #[serde(default)]
+    pub body_bytes: usize,
+    /// Headers.
+    #[serde(default)]
+    pub headers: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+/// A scenario.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name.
+    pub name: Arc<str>,
+    /// What it shows.
+    pub about: Arc<str>,
+    /// Built-in deployment.
+    pub deployment: Arc<str>,
+    /// Slots per worker in place of the file's.
+    #[serde(default)]
+    pub slots: Option<u32>,
+    /// Factor on all service times.
+    #[serde(default = "one")]
+    pub scale: f64,
+    /// Whether all targets start cold.
+    #[serde(default)]
+    pub cold: bool,
+    /// Length of the load.
+    pub seconds: f64,
+    /// Part of the capacity.
+    pub load: f64,
+    /// Part of the non-idempotent requests that carry a key.
+    #[serde(default)]
+    pub keyed: f64,
+    /// Bytes of each answer after its JSON.
+    #[serde(default)]
+    pub body_bytes: usize,
+    /// Whether callers speak HTTP/2.
+    #[serde(default)]
+    pub http2: bool,
+    /// Shape of the load; repeats.
+    #[serde(default)]
+    pub steps: Vec<Step>,
+    /// Further requests.
+    #[serde(default)]
+    pub extra: Vec<Extra>,
+    /// What happens.
+    #[serde(default)]
+    pub events: Vec<Event>,
+    /// What must hold besides the guarantees.
+    #[serde(default)]
+    pub limits: Limit,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl Scenario {
+    /// Finds a built-in scenario, or reads a file.
+    pub fn find(name: &str) -> Result<Self> {
+        let text = match catalogue::text(name) {
+            Some(text) => text.to_owned(),
+            None => std::fs::read_to_string(name).with_context(|| {
+                format!(
+                    "no scenario or file '{name}'; known are {}",
+                    catalogue::names()
+                )
+            })?,
+        };
+        serde_json::from_str(&text).with_context(|| format!("scenario {name}"))
+    }
+
+    /// The deployment that it runs on.
+    pub fn deployment(&self, policy: Option<&str>) -> Result<Deployment> {
+        let mut deployment = Deployment::named(&self.deployment)?.scaled(self.scale);
+        if let Some(slots) = self.slots {
+            deployment = deployment.with_slots(slots)?;
+        }
+        if let Some(policy) = policy {
+            deployment = deployment.with_policy(policy)?;
+        }
+        deployment.starts_cold = self.cold;
+        Ok(deployment)
+    }
+
+    /// Its requests; each round has other arrivals.
+    pub fn plan(&self, deployment: &Deployment, round: u64) -> Result<Plan> {
+        let mut streams = Stream::of(deployment, self.load, self.keyed);
+        for stream in &mut streams {
+            stream.body_bytes = self.body_bytes;
+        }
+        for extra in &self.extra {
+            let same =
+                |stream: &&Stream| stream.service == extra.service && stream.kind == extra.kind;
+            let like = streams.iter().find(same).context("extra: unknown kind")?;
+            streams.push(Stream {
+                rate: extra.rate,
+                keyed: extra.keyed,
+                body_bytes: extra.body_bytes,
+                headers: extra.headers.clone().into_iter().collect(),
+                ..like.clone()
+            });
+        }
+        let duration = Duration::from_secs_f64(self.seconds);
+        Ok(Plan::draw(streams, duration, &self.steps, SEED + round))
+    }
+
+    /// Starts a fleet for it, warm unless the scenario is about cold targets, and its callers.
+    pub async fn prepare(&self, policy: Option<&str>) -> Result<(Fleet, Crowd)> {
+        let mut fleet = Fleet::start(self.deployment(policy)?).await?;
+        let mut settings = Settings::new(&self.name);
+        settings.http2 = self.http2;
+        let mut crowd = Crowd::connect(settings, &fleet.entries()).await?;
+        if !self.cold {
+            trial::warm_up(&mut fleet, &mut crowd).await?;
+        }
+        fleet.ready_for_keys().await;
+        Ok((fleet, crowd))
+    }
+
+    /// Runs one round on a prepared fleet.
+    pub async fn run_on(
+        &self,
+        fleet: &mut Fleet,
+        crowd: &mut Crowd,
+        round: u64,
+    ) -> Result<(Trial, Verdict)> {
+        let plan = self.plan(&fleet.deployment, round)?;
+        crowd.rename(&format!("{}-{round}", self.name));
+        let drive = async |fleet: &mut Fleet| act::drive(fleet, &self.events).await;
+        let trial = trial::run(fleet, crowd, &plan, drive).await?;
+        let verdict = Verdict::new(&self.limits, &trial.account, &fleet.deployment, self.seconds);
+        Ok((trial, verdict))
+    }
+
+    /// Runs one round on a fleet of its own.
+    pub async fn run(&self, policy: Option<&str>, round: u64) -> Result<(Trial, Verdict)> {
+        let (mut fleet, mut crowd) = self.prepare(policy).await?;
+        let result = self.run_on(&mut fleet, &mut crowd, round).await?;
+        drop(crowd);
+        fleet.stop();
+        Ok(result)
+    }
+}
--- /dev/null
+++ b/crates/basilbay_load/src/scenario/catalogue.rs
@@ -0,0 +1,70 @@
+//! The scenarios that are built in.
+
+/// Names and texts, sorted by name.
+const ALL: [(&str, &str); 22] = [
+    ("bodies", include_str!("../../../../scenarios/bodies.json")),
+    ("cold", include_str!("../../../../scenarios/cold.json")),
+    (
+        "config-down",
+        include_str!("../../../../scenarios/config-down.json"),
+    ),
+    (
+        "config-stale",
+        include_str!("../../../../scenarios/config-stale.json"),
+    ),
+    ("domain", include_str!("../../../../scenarios/domain.json")),
+    (
+        "domain-ozolini",
+        include_str!("../../../../scenarios/domain-ozolini.json"),
+    ),
+    ("drain", include_str!("../../../../scenarios/drain.json")),
+    ("kill", include_str!("../../../../scenarios/kill.json")),
+    (
+        "list-down",
+        include_str!("../../../../scenarios/list-down.json"),
+    ),
+    ("lying", include_str!("../../../../scenarios/lying.json")),
+    ("noisy", include_str!("../../../../scenarios/noisy.json")),
+    (
+        "overload",
+        include_str!("../../../../scenarios/overload.json"),
+    ),
+    ("pause", include_str!("../../../../scenarios/pause.json")),
+    ("poison", include_str!("../../../../scenarios/poison.json")),
+    ("recool", include_str!("../../../../scenarios/recool.json")),
+    ("resend", include_str!("../../../../scenarios/resend.json")),
+    (
+        "steady-60",
+        include_str!("../../../../scenarios/steady-60.json"),
+    ),
+    (
+        "steady-80",
+        include_str!("../../../../scenarios/steady-80.json"),
+    ),
+    (
+        "steady-95",
+        include_str!("../../../../scenarios/steady-95.json"),
+    ),
+    ("stop", include_str!("../../../../scenarios/stop.json")),
+    (
+        "straggler",
+        include_str!("../../../../scenarios/straggler.json"),
+    ),
+    ("swings", include_str!("../../../../scenarios/swings.json")),
+];
+
+/// The text of a scenario.
+pub fn text(name: &str) -> Option<&'static str> {
+    let index = ALL.binary_search_by(|(known, _)| (*known).cmp(name)).ok()?;
+    ALL.get(index).map(|(_, text)| *text)
+}
+
+/// All names.
+pub fn all() -> Vec<&'static str> {
+    ALL.iter().map(|(name, _)| *name).collect()
+}
+
+/// All names in one line.
+pub fn names() -> String {
+    all().join(", ")
+}
--- /dev/null
+++ b/crates/basilbay_load/src/trial.rs
@@ -0,0 +1,83 @@
+//! One measured stretch of load on a running fleet, while things are done to the fleet.
+
+use std::time::Duration;
+
+use crate::account::{Account, Evidence};
+use crate::client::Crowd;
+use crate::client::record::Record;
+use crate::fleet::Fleet;
+use crate::plan::{Plan, Stream};
+
+/// Result of a trial.
+pub type Result<T> = anyhow::Result<T>;
+
+/// What a trial brought.
+#[derive(Debug)]
+pub struct Trial {
+    /// What callers were told.
+    pub records: Vec<Record>,
+    /// The account.
+    pub account: Account,
+}
+
+/// Longest wait for targets to end what their callers gave up.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Load of the warm-up, as a part of the capacity.
+const WARM_UP_LOAD: f64 = 0.85;
+
+/// Length of a round of the warm-up, and how many there are at most.
+const WARM_UP_ROUND: Duration = Duration::from_secs(1);
+const WARM_UP_ROUNDS: u64 = 10;
+
+/// The warm-up ends when less than one request in this many is refused.
+const WARM_UP_REFUSED: u64 = 100;
+
+/// Sends a plan while `drive` changes the fleet, and draws up the account.
+pub async fn run<F>(fleet: &mut Fleet, crowd: &Crowd, plan: &Plan, drive: F) -> Result<Trial>
+where
+    F: AsyncFnOnce(&mut Fleet) -> Result<()>,
+{
+    fleet.clear_runs().await?;
+    let (records, driven) = tokio::join!(crowd.run(plan), drive(fleet));
+    driven?;
+    let records = records?;
+    if records.iter().any(|record| record.attempts.len() > 1) {
+        tokio::time::sleep(SETTLE).await;
+    }
+    let account = account(fleet, plan, &records).await?;
+    Ok(Trial { records, account })
+}
+
+/// Sends discarded load until the daemons refuse almost nothing: after its start a daemon hands
+/// little to its target and, with each answer, a little more.
+pub async fn warm_up(fleet: &mut Fleet, crowd: &mut Crowd) -> Result<()> {
+    for round in 0..WARM_UP_ROUNDS {
+        let streams = Stream::of(&fleet.deployment, WARM_UP_LOAD, 0.0);
+        let plan = Plan::draw(streams, WARM_UP_ROUND, &[], round);
+        crowd.rename(&format!("warm-up-{round}"));
+        let account = run(fleet, crowd, &plan, async |_: &mut Fleet| Ok(())).await?.account;
+        if account.all.refused * WARM_UP_REFUSED < account.all.sent {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Reads what the targets ran and draws up the account.
+pub async fn account(fleet: &Fleet, plan: &Plan, records: &[Record]) -> Result<Account> {
+    let runs = fleet.runs().await?;
+    let violations = fleet.violations().await?;
+    let members = fleet.members.iter();
+    let domains: Vec<_> = members
+        .map(|member| (member.target.clone(), member.domain.clone()))
+        .collect();
+    Ok(Account::new(&Evidence {
+        streams: &plan.streams,
+        records,
+        runs: &runs,
+        violations: &violations,
+        events: &fleet.events,
+        domains: &domains,
+    }))
+}
--- /dev/null
+++ b/crates/basilbay_load/tests/account.rs
@@ -0,0 +1,219 @@
+//! The account on canned data, with one example of each violation.
+
+use std::sync::Arc;
+
+use basilbay_fakes::targets::account::{Outcome, Run, Violation};
+use basilbay_load::account::row::Class;
+use basilbay_load::account::{Account, Evidence, classify};
+use basilbay_load::client::record::{Attempt, Record, Told};
+use basilbay_load::deployment::Deployment;
+use basilbay_load::fleet::event::{Event, Fact};
+use basilbay_load::plan::Stream;
+
+const SECOND: u64 = 1_000_000;
+const FIT: usize = 0;
+
+struct Case {
+    streams: Vec<Stream>,
+    records: Vec<Record>,
+    runs: Vec<Run>,
+    violations: Vec<Violation>,
+    events: Vec<Event>,
+}
+
+impl Case {
+    fn new() -> Self {
+        Self {
+            streams: Stream::of(&Deployment::named("caroni").unwrap(), 0.5, 0.0),
+            records: Vec::new(),
+            runs: Vec::new(),
+            violations: Vec::new(),
+            events: Vec::new(),
+        }
+    }
+
+    fn booking(&self) -> usize {
+        let mut streams = self.streams.iter();
+        streams.position(|stream| &*stream.kind == "booking").unwrap()
+    }
+
+    fn told(&mut self, stream: usize, told: &[Told]) -> &mut Record {
+        let number = self.records.len();
+        let attempts = told.iter().enumerate().map(|(attempt, told)| Attempt {
+            id: match attempt {
+                0 => Arc::from(format!("r{number}")),
+                _ => Arc::from(format!("r{number}~{attempt}")),
+            },
+            entry: 0,
+            told: *told,
+        });
+        self.records.push(Record {
+            stream,
+            key: None,
+            due_us: SECOND,
+            lag_us: 10,
+            took_us: 20_000,
+            attempts: attempts.collect(),
+            is_whole: true,
+            is_replayed: false,
+        });
+        self.records.last_mut().unwrap()
+    }
+
+    fn run(&mut self, request: &str, start_us: u64) -> &mut Run {
+        self.runs.push(Run {
+            target: Arc::from("t1"),
+            request: Arc::from(request),
+            key: None,
+            kind: Arc::from("/"),
+            start_us,
+            end_us: start_us + 1000,
+            outcome: Outcome::Done,
+            in_flight_at_start: 1,
+            cold: false,
+        });
+        self.runs.last_mut().unwrap()
+    }
+
+    fn event(&mut self, at_us: u64, fact: Fact) {
+        self.events.push(Event { at_us, fact });
+    }
+
+    fn account(&self) -> Account {
+        Account::new(&Evidence {
+            streams: &self.streams,
+            records: &self.records,
+            runs: &self.runs,
+            violations: &self.violations,
+            events: &self.events,
+            domains: &[(Arc::from("t1"), Arc::from("d1"))],
+        })
+    }
+}
+
+/// Guards against an account that finds fault with a clean run, or counts it wrongly.
+#[test]
+fn clean_run() {
+    let mut case = Case::new();
+    let booking = case.booking();
+    case.told(FIT, &[Told::Answer(200)]);
+    case.told(booking, &[Told::Answer(200)]);
+    case.told(booking, &[Told::NotRun(503)]);
+    case.run("r0", SECOND);
+    case.run("r1", SECOND);
+    let account = case.account();
+    assert_eq!(account.breaches.total(), 0);
+    assert_eq!((account.all.sent, account.all.answered, account.all.refused), (3, 2, 1));
+    let weight = case.streams[booking].weight;
+    let fit = case.streams[FIT].weight;
+    let goodput = f64::from(fit + weight) / f64::from(fit + 2 * weight);
+    assert!((account.all.goodput() - goodput).abs() < 1e-9);
+    assert!((19.9..20.1).contains(&account.all.latency.p50));
+}
+
+/// Guards against outcomes that are filed under the wrong heading.
+#[test]
+fn each_class() {
+    let mut case = Case::new();
+    let booking = case.booking();
+    let mut class = |stream: usize, told: &[Told], took_us: u64, is_whole: bool| {
+        let record = case.told(stream, told);
+        record.took_us = took_us;
+        record.is_whole = is_whole;
+        let record = record.clone();
+        classify(&record, &case.streams[stream])
+    };
+    assert_eq!(class(FIT, &[Told::Answer(200)], 300_000, true), Class::Late);
+    assert_eq!(class(FIT, &[Told::Answer(200)], 1000, false), Class::Foreign);
+    assert_eq!(class(FIT, &[Told::Answer(500)], 1000, true), Class::Failed);
+    assert_eq!(class(FIT, &[Told::Unknown(504)], 1000, true), Class::Late);
+    assert_eq!(class(FIT, &[Told::Unknown(502)], 1000, true), Class::Lost);
+    assert_eq!(class(FIT, &[Told::Silent], 1000, true), Class::Lost);
+    assert_eq!(class(FIT, &[Told::Broken, Told::NotRun(503)], 1000, true), Class::Refused);
+    assert_eq!(class(booking, &[Told::Unknown(502)], 1000, true), Class::Unknown);
+    assert_eq!(class(booking, &[Told::Broken, Told::NotRun(503)], 1000, true), Class::Unknown);
+    assert_eq!(class(booking, &[Told::Unreachable], 1000, true), Class::Refused);
+}
+
+/// Guards against runs that happen twice unnoticed: by request id and by key.
+#[test]
+fn ran_twice() {
+    let mut case = Case::new();
+    let booking = case.booking();
+    case.told(booking, &[Told::Answer(200)]);
+    case.told(booking, &[Told::Unknown(502), Told::Answer(200)]).key = Some(Arc::from("k"));
+    case.told(FIT, &[Told::Answer(200)]);
+    for request in ["r0", "r0", "r2", "r2"] {
+        case.run(request, SECOND);
+    }
+    assert_eq!(case.account().breaches.doubled.count, 1);
+    for request in ["r1", "r1~1"] {
+        case.run(request, SECOND).key = Some(Arc::from("k"));
+    }
+    assert_eq!(case.account().breaches.doubled.count, 2);
+}
+
+/// Guards against a false "not run", also when the run was cancelled half-way.
+#[test]
+fn not_run_but_ran() {
+    let mut case = Case::new();
+    let booking = case.booking();
+    case.told(booking, &[Told::NotRun(503)]);
+    case.run("r0", SECOND).outcome = Outcome::Cancelled;
+    assert_eq!(case.account().breaches.told_not_run.count, 1);
+}
+
+/// Guards against lost and foreign answers that count as nothing.
+#[test]
+fn lost_and_foreign() {
+    let mut case = Case::new();
+    case.told(FIT, &[Told::Broken, Told::Broken, Told::Broken]);
+    case.told(FIT, &[Told::Answer(200)]).is_whole = false;
+    let breaches = case.account().breaches;
+    assert_eq!((breaches.lost.count, breaches.foreign.count), (1, 1));
+}
+
+/// Guards against work in a domain that is out, and limits that are off by the allowed time.
+#[test]
+fn domain_out() {
+    let mut case = Case::new();
+    case.event(10 * SECOND, Fact::DomainOut(Arc::from("d1")));
+    case.event(20 * SECOND, Fact::DomainIn(Arc::from("d1")));
+    for at in [9, 13, 15, 21] {
+        case.run("x", at * SECOND);
+    }
+    let account = case.account();
+    assert_eq!(account.breaches.domain_out.count, 1);
+    assert_eq!(account.latest_after_out_ms, Some(5000.0));
+}
+
+/// Guards against work on a target that leaves.
+#[test]
+fn leaving() {
+    let mut case = Case::new();
+    case.event(10 * SECOND, Fact::Leaving(Arc::from("t1")));
+    for at in [9, 11, 13] {
+        case.run("x", at * SECOND);
+    }
+    let account = case.account();
+    assert_eq!(account.breaches.leaving.count, 1);
+    assert_eq!(account.latest_after_leaving_ms, Some(3000.0));
+}
+
+/// Guards against limits that the targets saw broken and the account leaves out.
+#[test]
+fn target_limits() {
+    let mut case = Case::new();
+    case.violations.push(Violation {
+        target: Arc::from("t1"),
+        over_slots: 2,
+        over_cold: 3,
+        while_draining: 0,
+        latest_after_drain_us: 0,
+        over_connections: 4,
+    });
+    let breaches = case.account().breaches;
+    assert_eq!(breaches.over_slots.count, 2);
+    assert_eq!(breaches.over_cold.count, 3);
+    assert_eq!(breaches.over_connections.count, 4);
+}
--- /dev/null
+++ b/crates/basilbay_load/tests/plan.rs
@@ -0,0 +1,64 @@
+//! Arrivals: their number, their spacing and their repeatability.
+
+use std::time::Duration;
+
+use basilbay_load::deployment::Deployment;
+use basilbay_load::plan::{Plan, Step, Stream};
+
+fn one_stream(rate: f64) -> Vec<Stream> {
+    let deployment = Deployment::named("caroni").unwrap();
+    let mut streams = Stream::of(&deployment, 1.0, 0.5);
+    streams.truncate(1);
+    streams[0].rate = rate;
+    streams
+}
+
+/// Guards against arrivals that are not Poisson: evenly spaced ones would hide queues.
+#[test]
+fn poisson_arrivals() {
+    let plan = Plan::draw(one_stream(1000.0), Duration::from_secs(20), &[], 7);
+    let count = plan.arrivals.len() as f64;
+    assert!((19_500.0..20_500.0).contains(&count), "{count}");
+    let gaps: Vec<f64> = plan
+        .arrivals
+        .windows(2)
+        .map(|pair| (pair[1].at - pair[0].at).as_secs_f64())
+        .collect();
+    let mean = gaps.iter().sum::<f64>() / gaps.len() as f64;
+    let square = gaps.iter().map(|gap| (gap - mean).powi(2));
+    let deviation = (square.sum::<f64>() / gaps.len() as f64).sqrt();
+    let ratio = deviation / mean;
+    assert!((0.97..1.03).contains(&ratio), "{ratio}");
+}
+
+/// Guards against runs that cannot be repeated, or rounds that are all alike.
+#[test]
+fn fixed_seed() {
+    let draw = |seed| Plan::draw(one_stream(500.0), Duration::from_secs(1), &[], seed).arrivals;
+    assert_eq!(draw(1), draw(1));
+    assert_ne!(draw(1), draw(2));
+}
+
+/// Guards against swings that are smoothed away.
+#[test]
+fn sudden_steps() {
+    let steps = [
+        Step { for_ms: 10.0, factor: 0.0 },
+        Step { for_ms: 10.0, factor: 2.0 },
+    ];
+    let plan = Plan::draw(one_stream(1000.0), Duration::from_secs(5), &steps, 3);
+    let quiet = plan.arrivals.iter().filter(|arrival| arrival.at.as_micros() % 20_000 < 10_000);
+    assert_eq!(quiet.count(), 0);
+    assert!((4_700..5_300).contains(&plan.arrivals.len()));
+}
+
+/// Guards against a capacity that is not workers times slots by mean service time.
+#[test]
+fn known_capacity() {
+    let deployment = Deployment::named("caroni").unwrap();
+    let mean = 0.050 * (0.4_f64 * 0.4 / 2.0).exp();
+    let expected = 6.0 * 18.0 / mean;
+    assert!((deployment.capacity("fitfinder") - expected).abs() < 1e-6);
+    let half = deployment.with_slots(9).unwrap();
+    assert!((half.capacity("fitfinder") - expected / 2.0).abs() < 1e-6);
+}
