--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -17,7 +17,7 @@
 use closed::Reasons;
 
 use crate::limit::{Limit, Sample};
-use crate::probe::{Doubt, Report};
+use crate::probe::{Report, Restriction};
 use crate::profile::Profile;
 use crate::queue::{self, Queue};
 use crate::ramp::{Origin, Ramp};
@@ -68,7 +68,7 @@
 /// Where a cancelled request was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Place {
-    /// It waited and is forgotten; it was not run.
+    /// It waited and is removed; it was not run.
     Waiting,
     /// It runs and keeps its slot until it completes.
     Running,
@@ -88,7 +88,7 @@
     limit: Limit,
     ramp: Ramp,
     profile: Profile,
-    doubt: Option<Doubt>,
+    restriction: Option<Restriction>,
     queue: Queue,
     /// Sorted by id.
     running: Vec<Running>,
@@ -112,7 +112,7 @@
             limit: Limit::new(contract.slots),
             ramp: Ramp::new(contract, origin),
             profile: Profile::default(),
-            doubt: None,
+            restriction: None,
             queue: Queue::new(contract.queue),
             running: Vec::with_capacity(contract.slots as usize),
             suspect_runs: false,
@@ -135,7 +135,7 @@
         if self.place(ticket.id).is_some() {
             return Decision::Refuse(Cause::BadRequest);
         }
-        self.forget_doubt(now);
+        self.drop_expired_restriction(now);
         if self.has_room() && !self.queue.is_empty() {
             self.settle(now);
         }
@@ -173,7 +173,7 @@
         Some(sample.service)
     }
 
-    /// Notes that the caller of a request went away. A waiting one is forgotten, a running one keeps
+    /// Notes that the caller of a request went away. A waiting one is removed, a running one keeps
     /// its slot until it completes.
     pub fn cancel(&mut self, id: RequestId, now: Instant) -> Option<Place> {
         let place = self.place(id);
@@ -192,8 +192,10 @@
     /// When [`Gate::tick`] next has something to do.
     pub fn next_deadline(&self) -> Option<Instant> {
         let queue = self.queue.next_deadline(self.profile.recent())?;
-        let doubt = self.doubt.map_or(queue, |doubt| doubt.until);
-        Some(queue.min(doubt))
+        let restriction = self
+            .restriction
+            .map_or(queue, |restriction| restriction.until);
+        Some(queue.min(restriction))
     }
 
     /// Takes another contract into force.
@@ -228,7 +230,7 @@
     /// Holds a report of the target's load endpoint against the gate's own knowledge.
     pub fn observe_report(&mut self, report: Report, now: Instant) {
         let own_limit = self.limit.allowed().min(self.ramp.allowed());
-        self.doubt = Doubt::new(report, own_limit, self.peak, now);
+        self.restriction = Restriction::new(report, own_limit, self.peak, now);
         self.peak = self.running.len() as u32;
         self.settle(now);
     }
@@ -264,7 +266,8 @@
     /// Requests that may run at this moment, by the least of all limits.
     pub fn limit(&self) -> u32 {
         let own = self.limit.allowed().min(self.ramp.allowed());
-        self.doubt.map_or(own, |doubt| doubt.allowed.min(own))
+        self.restriction
+            .map_or(own, |restriction| restriction.allowed.min(own))
     }
 
     /// Requests that are started and not completed.
@@ -346,7 +349,7 @@
 
     fn learn_answer(&mut self, sample: Sample) {
         self.profile.note(sample.service);
-        self.trust_answer(sample.service);
+        self.count_normal_answer(sample.service);
         let fell = self
             .ramp
             .answered(sample.order, sample.service, &mut self.profile, sample.next);
@@ -357,24 +360,26 @@
         self.limit.answered(sample, &mut self.profile);
     }
 
-    fn trust_answer(&mut self, service: Duration) {
+    fn count_normal_answer(&mut self, service: Duration) {
         let normal = self.profile.is_normal(service);
-        let Some(doubt) = &mut self.doubt else {
+        let Some(restriction) = &mut self.restriction else {
             return;
         };
-        if normal && doubt.is_outweighed() {
-            self.doubt = None;
+        if normal && restriction.is_refuted() {
+            self.restriction = None;
         }
     }
 
     fn settle(&mut self, now: Instant) {
-        self.forget_doubt(now);
+        self.drop_expired_restriction(now);
         self.expire(now);
         self.start_waiting(now);
     }
 
-    fn forget_doubt(&mut self, now: Instant) {
-        self.doubt = self.doubt.filter(|doubt| now < doubt.until);
+    fn drop_expired_restriction(&mut self, now: Instant) {
+        self.restriction = self
+            .restriction
+            .filter(|restriction| now < restriction.until);
     }
 
     fn expire(&mut self, now: Instant) {
--- a/crates/basilbay_admission/src/limit.rs
+++ b/crates/basilbay_admission/src/limit.rs
@@ -236,7 +236,7 @@
         if limit < trial.limit * TRIAL_DEPTH {
             let kept = (limit / mean) / (trial.limit / trial.mean);
             if kept < KEPT_THROUGHPUT {
-                self.take_back(trial, sample, profile);
+                self.revert(trial, sample, profile);
                 return;
             }
         }
@@ -249,7 +249,7 @@
         self.trial = Some(trial);
     }
 
-    fn take_back(&mut self, trial: Trial, sample: Sample, profile: &mut Profile) {
+    fn revert(&mut self, trial: Trial, sample: Sample, profile: &mut Profile) {
         profile.raise(trial.mean * RAISE_MARGIN / TOLERANCE);
         self.value = trial.limit.min(f64::from(self.slots));
         self.restart_window(sample.next);
--- a/crates/basilbay_admission/src/probe.rs
+++ b/crates/basilbay_admission/src/probe.rs
@@ -10,11 +10,11 @@
 /// Parts in the whole of a share in parts per thousand.
 const PERMILLE: u32 = 1000;
 
-/// How long a report is heeded; 3 probes at the shortest gap.
+/// How long a report applies; 3 probes at the shortest gap.
 const REPORT_LIFE: Duration = Duration::from_secs(3);
 
-/// Rounds of usual answers that outweigh a report.
-const OUTWEIGHING_ROUNDS: u32 = 2;
+/// Rounds of usual answers that refute a report.
+const REFUTING_ROUNDS: u32 = 2;
 
 /// When the next probe may be sent.
 ///
@@ -76,9 +76,9 @@
 /// A lower limit while a report contradicts the gate's own knowledge.
 ///
 /// Load endpoints lag and mislead, so a report halves the limit at most, never raises it, loses its
-/// force with time and is outweighed by answers at the usual speed.
+/// effect with time and is refuted by answers at the usual speed.
 #[derive(Clone, Copy, Debug)]
-pub struct Doubt {
+pub struct Restriction {
     /// Requests that may run.
     pub allowed: u32,
     /// When the report is forgotten.
@@ -86,9 +86,9 @@
     answers: u32,
 }
 
-impl Doubt {
+impl Restriction {
     /// Holds a report against the gate's own limit and the most requests that ran since the last
-    /// report; none when it gives no reason for doubt.
+    /// report; none when it agrees.
     pub fn new(report: Report, own_limit: u32, own_peak: u32, now: Instant) -> Option<Self> {
         let half = own_limit.div_ceil(2).max(1);
         let foreign = report.in_flight.saturating_sub(own_peak);
@@ -103,12 +103,12 @@
         (allowed < own_limit).then(|| Self {
             allowed,
             until: now + REPORT_LIFE,
-            answers: allowed.saturating_mul(OUTWEIGHING_ROUNDS),
+            answers: allowed.saturating_mul(REFUTING_ROUNDS),
         })
     }
 
-    /// Counts an answer at the usual speed; true when enough of them outweigh the report.
-    pub fn is_outweighed(&mut self) -> bool {
+    /// Counts an answer at the usual speed; true when enough of them refute the report.
+    pub fn is_refuted(&mut self) -> bool {
         self.answers = self.answers.saturating_sub(1);
         self.answers == 0
     }
--- a/crates/basilbay_admission/src/queue.rs
+++ b/crates/basilbay_admission/src/queue.rs
@@ -1,9 +1,9 @@
 //! Requests that wait for a slot.
 //!
-//! A calm queue is served in the order of arrival. One that has not been empty for as long as its
-//! requests are meant to wait is overloaded: then the heaviest kind comes first and of each kind the
-//! newest, which has the most time left, and requests that waited too long are refused while their
-//! caller can still try another target.
+//! A calm queue is served in the order of arrival. One that has not been empty for as long as a
+//! request should wait is overloaded: then the heaviest kind comes first and of each kind the
+//! newest, which has the most time left, and requests that waited too long are refused while
+//! their caller can still try another target.
 
 use std::time::{Duration, Instant};
 
@@ -12,11 +12,11 @@
 use crate::request::{RequestId, Ticket};
 
 /// Shortest wait that counts as too long; below it a queue is a burst.
-const MIN_PATIENCE: Duration = Duration::from_millis(100);
+const MIN_WAIT_LIMIT: Duration = Duration::from_millis(100);
 
 /// Service times that a request may wait under overload. At least one slot is freed in each, so the
 /// queue does not run dry while requests arrive faster than they are served.
-const PATIENCE_SERVICES: u32 = 2;
+const WAIT_LIMIT_SERVICES: u32 = 2;
 
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
@@ -76,8 +76,10 @@
 
     /// Adds a request at the end.
     pub fn push(&mut self, ticket: Ticket, service: Duration, now: Instant) {
-        let patience = service.saturating_mul(PATIENCE_SERVICES).max(MIN_PATIENCE);
-        let stale_at = now.checked_add(patience).unwrap_or(ticket.deadline);
+        let wait_limit = service
+            .saturating_mul(WAIT_LIMIT_SERVICES)
+            .max(MIN_WAIT_LIMIT);
+        let stale_at = now.checked_add(wait_limit).unwrap_or(ticket.deadline);
         self.overload_at.get_or_insert(stale_at);
         self.waiting.push(Waiting { ticket, stale_at });
     }
--- a/crates/basilbay_admission/tests/gate.rs
+++ b/crates/basilbay_admission/tests/gate.rs
@@ -13,7 +13,7 @@
 use basilbay_wire::load::State;
 use basilbay_wire::problem::Cause;
 use proptest::prelude::*;
-use request::{actions, contract};
+use request::{actions, config, contract};
 
 fn ticket(id: u64, now: Instant) -> Ticket {
     request::ticket(id, 1, 1000, now)
@@ -335,7 +335,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(2000))]
+    #![proptest_config(config(2000))]
 
     /// Guards against any interleaving that breaks the slots, the ramp, the limit, the single
     /// suspect, the queue bound, or the one outcome of each request.
--- a/crates/basilbay_admission/tests/limit.rs
+++ b/crates/basilbay_admission/tests/limit.rs
@@ -1,5 +1,7 @@
 //! The limit falls when concurrency hurts the target, and stays when something else does.
 
+#[path = "support/request.rs"]
+mod request;
 #[path = "support/world.rs"]
 mod world;
 
@@ -10,9 +12,10 @@
 use basilbay_admission::profile::Profile;
 use basilbay_model::service::Contract;
 use proptest::prelude::*;
+use request::config;
 use world::{Kind, World};
 
-const KINDS: [Kind; 1] = [(1, 1.0, 500_000)];
+const KINDS: [Kind; 1] = [(1, 1.0, 500)];
 /// Requests a second that 18 slots of 10 ms serve.
 const CAPACITY: f64 = 1800.0;
 
@@ -20,7 +23,6 @@
     let mut world = World::new(&Contract::default(), Start::Fresh);
     world.run(3000, 0.4 * CAPACITY, &KINDS);
     assert_eq!(world.gate.limit(), 18);
-    world.reset_counts();
     world
 }
 
@@ -31,12 +33,12 @@
     world.bears = 6;
     world.run(100, 2.0 * CAPACITY, &KINDS);
     assert!(world.gate.limit() <= 8, "limit {}", world.gate.limit());
-    world.reset_counts();
     world.run(2000, 2.0 * CAPACITY, &KINDS);
     // 6 slots serve 600 a second.
-    println!("{} of 1200 served, {} shed", world.good, world.overloads);
-    assert!(world.good >= 1080, "{} served", world.good);
-    assert!(world.overloads < world.good / 10, "{}", world.overloads);
+    let good = world.latencies.len() as u32;
+    println!("{good} of 1200 served, {} shed", world.overloads);
+    assert!(good >= 1080, "{good} served");
+    assert!(world.overloads < good / 10, "{}", world.overloads);
     world.bears = 18;
     world.run(2000, 2.0 * CAPACITY, &KINDS);
     assert_eq!(world.gate.limit(), 18);
@@ -48,27 +50,30 @@
     let mut world = World::new(&Contract::default(), Start::Fresh);
     world.cores = 4;
     world.run(3000, 0.1 * CAPACITY, &KINDS);
-    world.reset_counts();
     world.run(4000, 2.0 * CAPACITY, &KINDS);
     assert!(world.gate.limit() <= 13, "limit {}", world.gate.limit());
     // 4 cores serve 400 a second.
-    println!("{} of 1600 served", world.good);
-    assert!(world.good >= 1440, "{} served", world.good);
+    let good = world.latencies.len();
+    println!("{good} of 1600 served");
+    assert!(good >= 1440, "{good} served");
 }
 
 /// Guards against short noisy bursts that halve the throughput.
 #[test]
 fn noisy_bursts() {
     let mut world = warm_world();
+    let mut good = 0usize;
     for _ in 0..10 {
-        world.slowness = 3.0;
+        world.service_us = 30_000.0;
         world.run(60, 1.2 * CAPACITY, &KINDS);
         assert!(world.gate.limit() > 9, "limit {}", world.gate.limit());
-        world.slowness = 1.0;
+        good += world.latencies.len();
+        world.service_us = 10_000.0;
         world.run(500, 1.2 * CAPACITY, &KINDS);
+        good += world.latencies.len();
     }
     let ideal = 10.0 * (0.06 * CAPACITY / 3.0 + 0.5 * CAPACITY);
-    let share = f64::from(world.good) / ideal;
+    let share = good as f64 / ideal;
     println!("share of the throughput {share:.3}");
     assert!(share >= 0.9, "{share:.3} served");
 }
@@ -77,15 +82,17 @@
 #[test]
 fn lasting_slowness() {
     let mut world = warm_world();
-    world.slowness = 3.0;
+    world.service_us = 30_000.0;
     world.run(20_000, 1.2 * CAPACITY, &KINDS);
     let ideal = 20.0 * CAPACITY / 3.0;
-    let share = f64::from(world.good) / ideal;
+    let share = world.latencies.len() as f64 / ideal;
     println!("share of the throughput {share:.3}");
     assert!(share >= 0.9, "{share:.3} served");
 }
 
 proptest! {
+    #![proptest_config(config(256))]
+
     /// Guards against a limit of 0 or above the slots of the contract, whatever the samples.
     #[test]
     fn stays_bounded(samples in prop::collection::vec((0u64..50, any::<bool>(), 1u32..30), 1..400)) {
--- a/crates/basilbay_admission/tests/probe.rs
+++ b/crates/basilbay_admission/tests/probe.rs
@@ -9,7 +9,7 @@
 use basilbay_admission::probe::{Budget, Report};
 use basilbay_model::service::Contract;
 use proptest::prelude::*;
-use request::ticket;
+use request::{config, ticket};
 
 fn contract(probe_permille: u32, cost_us: u64) -> Contract {
     Contract {
@@ -50,6 +50,8 @@
 }
 
 proptest! {
+    #![proptest_config(config(256))]
+
     /// Guards against a burst of probes at any moment, whatever the contract changes to.
     #[test]
     fn share_kept(
@@ -82,7 +84,7 @@
     }
 }
 
-/// Guards against a report of foreign work that is ignored, or heeded for ever.
+/// Guards against a report of foreign work that is ignored, or applied for ever.
 #[test]
 fn foreign_work() {
     let now = Instant::now();
@@ -93,7 +95,7 @@
     assert_eq!(gate.limit(), 18);
 }
 
-/// Guards against doubt of a report that only lags behind the gate's own requests.
+/// Guards against a restriction after a report that only lags behind the gate's own requests.
 #[test]
 fn lagging_report() {
     let now = Instant::now();
@@ -110,7 +112,7 @@
 
 /// Guards against a misleading report that outlives the target's answers at the usual speed.
 #[test]
-fn answers_outweigh() {
+fn answers_refute() {
     let mut now = Instant::now();
     let mut gate = Gate::new(&contract(10, 1), Start::Fresh, now);
     for id in 0..100 {
--- a/crates/basilbay_admission/tests/ramp.rs
+++ b/crates/basilbay_admission/tests/ramp.rs
@@ -13,7 +13,7 @@
 use request::ticket;
 use world::{Kind, World};
 
-const KINDS: [Kind; 1] = [(1, 1.0, 500_000)];
+const KINDS: [Kind; 1] = [(1, 1.0, 500)];
 
 /// Runs rounds of as many requests as fit, each answered after `service`.
 struct Rounds {
@@ -89,7 +89,7 @@
 fn cold_start() {
     let contract = Contract::default();
     let mut world = World::new(&contract, Start::Fresh);
-    world.warming = Some((contract.cold_slots, contract.warm_after));
+    world.warming = (contract.cold_slots, contract.warm_after, 0);
     world.run(3000, 3600.0, &KINDS);
     assert_eq!(world.overloads, 0);
     assert_eq!(world.gate.state(), State::Warm);
--- a/crates/basilbay_admission/tests/restart.rs
+++ b/crates/basilbay_admission/tests/restart.rs
@@ -13,7 +13,7 @@
 use request::contract;
 use world::{Kind, World};
 
-const KINDS: [Kind; 1] = [(1, 1.0, 500_000)];
+const KINDS: [Kind; 1] = [(1, 1.0, 500)];
 
 /// Guards against a restarted gate that begins at full or cold size.
 #[test]
--- a/crates/basilbay_admission/tests/shedding.rs
+++ b/crates/basilbay_admission/tests/shedding.rs
@@ -88,17 +88,16 @@
 /// Guards against weighted goodput under 95% of capacity at twice the capacity offered.
 #[test]
 fn twice_capacity() {
-    let kinds: [Kind; 2] = [(1, 0.6, 200_000), (5, 0.4, 200_000)];
+    let kinds: [Kind; 2] = [(1, 0.6, 200), (5, 0.4, 200)];
     let mut world = World::new(&Contract::default(), Start::Fresh);
     world.run(3000, CAPACITY, &kinds);
-    world.reset_counts();
     let seconds = 10.0;
     world.run(10_000, 2.0 * CAPACITY, &kinds);
     // The best that 18 slots can do: all heavy requests, the rest light.
     let heavy = 0.4 * 2.0 * CAPACITY * seconds;
     let best = heavy * 5.0 + (CAPACITY * seconds - heavy);
-    let goodput = world.good_weight / best;
-    let answered = f64::from(world.good) / (CAPACITY * seconds);
+    let goodput = f64::from(world.weight) / best;
+    let answered = world.latencies.len() as f64 / (CAPACITY * seconds);
     world.latencies.sort_unstable();
     let p99 = world.latencies[world.latencies.len() * 99 / 100];
     println!("weighted goodput {goodput:.3}, answered {answered:.3}, p99 {p99} us");
--- a/crates/basilbay_admission/tests/support/request.rs
+++ b/crates/basilbay_admission/tests/support/request.rs
@@ -10,6 +10,7 @@
 use basilbay_admission::gate::{Action, Gate};
 use basilbay_admission::request::Ticket;
 use basilbay_model::service::Contract;
+use proptest::test_runner::Config;
 
 pub fn ticket(id: u64, weight: u32, millis: u64, now: Instant) -> Ticket {
     Ticket {
@@ -33,3 +34,11 @@
 pub fn actions(gate: &mut Gate) -> Vec<Action> {
     gate.drain_actions().collect()
 }
+
+/// The seed is fixed for all runs, so no file of failed cases is kept.
+pub fn config(cases: u32) -> Config {
+    Config {
+        failure_persistence: None,
+        ..Config::with_cases(cases)
+    }
+}
--- a/crates/basilbay_admission/tests/support/world.rs
+++ b/crates/basilbay_admission/tests/support/world.rs
@@ -13,32 +13,23 @@
 use basilbay_admission::request::Ticket;
 use basilbay_model::service::Contract;
 
-/// Mean service time of a warm target.
-pub const SERVICE_US: f64 = 10_000.0;
-/// Time in which a target sheds a request that it cannot bear.
-const SHED_US: u64 = 100;
-
-/// Weight, share of the requests, and time until the caller gives up.
+/// Weight, share of the requests, and milliseconds until the caller gives up.
 pub type Kind = (u32, f64, u64);
 
 pub struct World {
     pub gate: Gate,
-    /// Requests that the warm target bears.
+    /// Requests that the warm target bears; it sheds others in 0.1 ms.
     pub bears: u32,
-    /// Cold slots and answers until warm, and the answers so far.
-    pub warming: Option<(u32, u32)>,
-    pub warmth: u32,
-    /// Factor on every service time.
-    pub slowness: f64,
+    /// Requests that it bears cold, answers until it is warm, and answers so far.
+    pub warming: (u32, u32, u32),
+    /// Mean service time when no core is shared.
+    pub service_us: f64,
     /// Cores that the running requests share.
     pub cores: u32,
     /// Requests that came to the target beyond what it bears.
     pub overloads: u32,
-    /// Requests and weight answered before their deadline.
-    pub good: u32,
-    pub good_weight: f64,
-    pub offered_weight: f64,
-    /// Time each good request took, in microseconds.
+    /// Weight of the requests answered in time, and the microseconds that each took.
+    pub weight: u32,
     pub latencies: Vec<u64>,
     clock: u64,
     epoch: Instant,
@@ -54,14 +45,11 @@
         Self {
             gate: Gate::new(contract, start, epoch),
             bears: contract.slots,
-            warming: None,
-            warmth: 0,
-            slowness: 1.0,
+            warming: (contract.slots, 1, 0),
+            service_us: 10_000.0,
             cores: u32::MAX,
             overloads: 0,
-            good: 0,
-            good_weight: 0.0,
-            offered_weight: 0.0,
+            weight: 0,
             latencies: Vec::new(),
             clock: 0,
             epoch,
@@ -72,12 +60,11 @@
         }
     }
 
-    pub fn now(&self) -> Instant {
-        self.epoch + Duration::from_micros(self.clock)
-    }
-
-    /// Offers `rate` requests a second for `millis`, with exponential gaps and service times.
+    /// Forgets the counts and offers `rate` requests a second, with exponential gaps and services.
     pub fn run(&mut self, millis: u64, rate: f64, kinds: &[Kind]) {
+        self.overloads = 0;
+        self.weight = 0;
+        self.latencies.clear();
         let end = self.clock + millis * 1000;
         let mut arrival = self.clock + self.exponential(1e6 / rate);
         while arrival < end {
@@ -88,12 +75,8 @@
         self.advance(end);
     }
 
-    pub fn reset_counts(&mut self) {
-        self.overloads = 0;
-        self.good = 0;
-        self.good_weight = 0.0;
-        self.offered_weight = 0.0;
-        self.latencies.clear();
+    fn now(&self) -> Instant {
+        self.epoch + Duration::from_micros(self.clock)
     }
 
     fn uniform(&mut self) -> f64 {
@@ -107,49 +90,35 @@
         (-(1.0 - self.uniform()).ln() * mean) as u64
     }
 
-    fn capacity(&self) -> u32 {
-        match self.warming {
-            Some((cold, after)) if self.warmth < after => {
-                cold + (self.bears - cold) * self.warmth / after
-            }
-            _ => self.bears,
-        }
-    }
-
     fn offer(&mut self, kinds: &[Kind]) {
         let mut draw = self.uniform();
-        let mut chosen = kinds[0];
-        for kind in kinds {
-            chosen = *kind;
+        let chosen = kinds.iter().find(|kind| {
             draw -= kind.1;
-            if draw < 0.0 {
-                break;
-            }
-        }
-        let ticket = Ticket {
-            id: self.tickets.len() as u64,
-            weight: chosen.0,
-            deadline: self.now() + Duration::from_micros(chosen.2),
-            suspect: false,
-        };
+            draw < 0.0
+        });
+        let (weight, _, millis) = *chosen.unwrap_or(&kinds[0]);
+        let id = self.tickets.len() as u64;
+        let ticket = super::request::ticket(id, weight, millis, self.now());
         self.tickets.push((ticket, self.clock));
-        self.offered_weight += f64::from(ticket.weight);
         if self.gate.offer(ticket, self.now()) == Decision::Run {
-            self.begin(ticket.id);
+            self.begin(id);
         }
         self.act();
     }
 
     fn begin(&mut self, id: u64) {
-        if self.inside >= self.capacity() {
+        let (cold, after, done) = self.warming;
+        let cold = cold.min(self.bears);
+        let served = self.inside < cold + (self.bears - cold) * done.min(after) / after;
+        let mut service = 100;
+        if served {
+            self.inside += 1;
+            let sharing = f64::from(self.inside) / f64::from(self.inside.min(self.cores));
+            service = self.exponential(self.service_us * sharing);
+        } else {
             self.overloads += 1;
-            self.ends.push(Reverse((self.clock + SHED_US, id, false)));
-            return;
         }
-        self.inside += 1;
-        let sharing = f64::from(self.inside.max(self.cores)) / f64::from(self.cores);
-        let service = self.exponential(SERVICE_US * self.slowness * sharing);
-        self.ends.push(Reverse((self.clock + service, id, true)));
+        self.ends.push(Reverse((self.clock + service, id, served)));
     }
 
     fn act(&mut self) {
@@ -162,11 +131,10 @@
     }
 
     fn advance(&mut self, until: u64) {
-        while let Some(&Reverse((at, id, served))) = self.ends.peek() {
-            if at > until {
-                break;
-            }
-            self.ends.pop();
+        while self.ends.peek().is_some_and(|end| end.0.0 <= until) {
+            let Some(Reverse((at, id, served))) = self.ends.pop() else {
+                return;
+            };
             self.clock = at;
             self.end(id, served);
         }
@@ -176,23 +144,18 @@
     }
 
     fn end(&mut self, id: u64, served: bool) {
-        let result = if served {
-            Completion::Answered
-        } else {
-            Completion::Failed
-        };
         let (ticket, since) = self.tickets[id as usize];
+        let mut result = Completion::Failed;
         if served {
+            result = Completion::Answered;
             self.inside -= 1;
-            self.warmth += 1;
+            self.warming.2 += 1;
             if self.now() <= ticket.deadline {
-                self.good += 1;
-                self.good_weight += f64::from(ticket.weight);
+                self.weight += ticket.weight;
                 self.latencies.push(self.clock - since);
             }
         }
-        let now = self.now();
-        self.gate.complete(id, result, now);
+        self.gate.complete(id, result, self.now());
         self.act();
     }
 }
