--- a/crates/basilbay_load/src/latency.rs
+++ b/crates/basilbay_load/src/latency.rs
@@ -37,11 +37,17 @@
 /// Time from one pair of calls to the next.
 const PAUSE: Duration = Duration::from_millis(4);
 
+/// Calls before the measurement: twice what all targets need to count as warm.
+const WARM_UP_CALLS: usize = 2 * WORKERS * WARM_AFTER;
+
+/// Answers after which a target of the measurement counts as warm.
+const WARM_AFTER: usize = 100;
+
 /// Depths of the measured chains.
 pub const DEPTHS: [usize; 3] = [1, 4, 12];
 
 const TEXT: &str = "[basilbay]\nversion = 1\n\n[domain d1]\n\n[domain d2]\n\n[service echo]\n\
-                    connections = 200\n\n[kind echo/call]\npath = /\nidempotent = yes\n";
+                    connections = 200\nwarm_after = 100\n\n[kind echo/call]\npath = /\nidempotent = yes\n";
 
 /// Latencies of one depth, in ms.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -123,6 +129,7 @@
 pub async fn run(seconds: f64, depths: &[usize], with_cost: bool) -> Result<Report> {
     let mut fleet = Fleet::start(deployment()?).await?;
     let line = straight::Line::start(WORKERS, SERVICE)?;
+    warm_up(&fleet).await?;
     let mut pairs = Vec::new();
     for depth in depths {
         eprintln!("  chains of {depth}: {seconds} s");
@@ -137,6 +144,15 @@
     Ok(Report { pairs, costs })
 }
 
+/// Answers all daemons' ramps to the top: a chain needs several slots of each target at once.
+async fn warm_up(fleet: &Fleet) -> Result<()> {
+    let doors = doors(&fleet.entries()).await?;
+    for number in 0..WARM_UP_CALLS {
+        call(&doors[number % WORKERS], "").await?;
+    }
+    Ok(())
+}
+
 /// Alternates between the two ways, over one connection to each daemon and target.
 async fn pair(fleet: &Fleet, line: &straight::Line, depth: usize, seconds: f64) -> Result<Pair> {
     let through = doors(&fleet.entries()).await?;
--- a/crates/basilbay_load/tests/plan.rs
+++ b/crates/basilbay_load/tests/plan.rs
@@ -6,7 +6,7 @@
 use basilbay_load::plan::{Plan, Step, Stream};
 
 fn one_stream(rate: f64) -> Vec<Stream> {
-    let deployment = Deployment::named("caroni").unwrap();
+    let deployment = Deployment::named("caroni").expect("works");
     let mut streams = Stream::of(&deployment, 1.0, 0.5);
     streams.truncate(1);
     streams[0].rate = rate;
@@ -43,11 +43,20 @@
 #[test]
 fn sudden_steps() {
     let steps = [
-        Step { for_ms: 10.0, factor: 0.0 },
-        Step { for_ms: 10.0, factor: 2.0 },
+        Step {
+            for_ms: 10.0,
+            factor: 0.0,
+        },
+        Step {
+            for_ms: 10.0,
+            factor: 2.0,
+        },
     ];
     let plan = Plan::draw(one_stream(1000.0), Duration::from_secs(5), &steps, 3);
-    let quiet = plan.arrivals.iter().filter(|arrival| arrival.at.as_micros() % 20_000 < 10_000);
+    let quiet = plan
+        .arrivals
+        .iter()
+        .filter(|arrival| arrival.at.as_micros() % 20_000 < 10_000);
     assert_eq!(quiet.count(), 0);
     assert!((4_700..5_300).contains(&plan.arrivals.len()));
 }
@@ -55,10 +64,10 @@
 /// Guards against a capacity that is not workers times slots by mean service time.
 #[test]
 fn known_capacity() {
-    let deployment = Deployment::named("caroni").unwrap();
+    let deployment = Deployment::named("caroni").expect("works");
     let mean = 0.050 * (0.4_f64 * 0.4 / 2.0).exp();
     let expected = 6.0 * 18.0 / mean;
     assert!((deployment.capacity("fitfinder") - expected).abs() < 1e-6);
-    let half = deployment.with_slots(9).unwrap();
+    let half = deployment.with_slots(9).expect("works");
     assert!((half.capacity("fitfinder") - expected / 2.0).abs() < 1e-6);
 }
