Let a restarted daemon climb on the service time of its siblings

Cause: a daemon that starts beside a running target climbed by one answer at a time from one slot.

The gate takes the service time that warm siblings report. Once earlier work has ended, an answer as quick as theirs counts for eight, as it does after a pause; a cold target is slower and gains nothing.

A whole fleet whose daemons start together has no warm sibling and climbs as before.

--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -20,7 +20,7 @@
 use crate::probe::{Report, Restriction};
 use crate::profile::Profile;
 use crate::queue::{self, Queue};
-use crate::ramp::{Origin, Ramp};
+use crate::ramp::{Answer, Origin, Ramp, Reference};
 use crate::request::{Order, RequestId, Ticket};
 
 /// How the target is found when the daemon starts.
@@ -85,6 +85,7 @@
 /// Admission to one target.
 #[derive(Debug)]
 pub struct Gate {
+    created: Instant,
     limit: Limit,
     ramp: Ramp,
     profile: Profile,
@@ -103,12 +104,13 @@
 
 impl Gate {
     /// A gate with nothing running; `now` is the moment of its creation.
-    pub fn new(contract: &Contract, start: Start, _now: Instant) -> Self {
+    pub fn new(contract: &Contract, start: Start, now: Instant) -> Self {
         let origin = match start {
             Start::Fresh => Origin::Cold,
             Start::Restart => Origin::Restart,
         };
         Self {
+            created: now,
             limit: Limit::new(contract.slots),
             ramp: Ramp::new(contract, origin),
             profile: Profile::default(),
@@ -163,6 +165,7 @@
         let sample = Sample {
             order: running.order,
             next: self.next_order,
+            started: running.started,
             service: now.saturating_duration_since(running.started),
             running: count,
             allowed,
@@ -212,6 +215,14 @@
         }
     }
 
+    /// Takes the usual service time of warm siblings; a gate beside a target that was found running
+    /// climbs faster on answers that are as quick.
+    pub fn set_sibling_latency(&mut self, latency: Option<Duration>) {
+        let created = self.created;
+        let reference = latency.map(|latency| Reference::new(latency, created));
+        self.ramp.set_reference(reference);
+    }
+
     /// Sets or clears one reason for taking no new work.
     pub fn set_state(&mut self, reason: Closed, holds: bool) {
         self.reasons.set(reason, holds);
@@ -350,9 +361,13 @@
     fn learn_answer(&mut self, sample: Sample) {
         self.profile.note(sample.service);
         self.count_normal_answer(sample.service);
-        let fell = self
-            .ramp
-            .answered(sample.order, sample.service, &mut self.profile, sample.next);
+        let answer = Answer {
+            order: sample.order,
+            started: sample.started,
+            service: sample.service,
+            next: sample.next,
+        };
+        let fell = self.ramp.answered(answer, &mut self.profile);
         if fell {
             self.limit.restart_window(sample.next);
             return;
--- a/crates/basilbay_admission/src/limit.rs
+++ b/crates/basilbay_admission/src/limit.rs
@@ -8,7 +8,7 @@
 //! shedding cut the limit without waiting for the end of the window.
 
 use std::mem;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::profile::Profile;
 use crate::request::Order;
@@ -73,6 +73,8 @@
 /// A completed request, as the limit sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
+    /// When the request was started.
+    pub started: Instant,
     /// Position of its start.
     pub order: Order,
     /// Position of the next start.
--- a/crates/basilbay_admission/src/ramp.rs
+++ b/crates/basilbay_admission/src/ramp.rs
@@ -4,7 +4,7 @@
 //! nothing stays cold however long it waits. Only answers of requests that were started on the
 //! ramp count.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use basilbay_model::service::Contract;
 
@@ -14,10 +14,18 @@
 /// Consecutive answers far above the profile that put a warm target back on the ramp.
 const FAR_ANSWERS: u32 = 4;
 
-/// What an answer at the usual warm time counts for on a ramp that slow answers began. A target
-/// that answers as quickly as ever has paused and is not cold.
+/// What an answer at the usual warm time counts for on a ramp that slow answers or a restart of the
+/// daemon began. A target that answers as quickly as ever has paused and is not cold.
 const NORMAL_CREDIT: u32 = 8;
 
+/// Multiple of the siblings' service time after which earlier work has ended: the connections of
+/// the daemon before this one broke with it, which cancels its requests, and the slowest of a
+/// hundred requests takes about 2.5 times the median.
+const EARLIER_WORK: u32 = 4;
+
+/// An answer within this factor of the siblings' service time is as quick as those of a warm target.
+const SIBLING_FACTOR: f64 = 1.5;
+
 /// Requests at the bottom of the ramp beside a target that may still run unknown earlier work.
 const RESTART_SLOTS: u32 = 1;
 
@@ -42,6 +50,43 @@
     late_count: u32,
 }
 
+/// Service time of warm siblings, for a target whose own warm time is not known.
+#[derive(Clone, Copy, Debug)]
+pub struct Reference {
+    /// Usual service time of the siblings.
+    pub service: Duration,
+    /// When work of an earlier daemon has ended.
+    pub settled_at: Instant,
+}
+
+impl Reference {
+    /// A reference for a gate that was made at `created`.
+    pub fn new(service: Duration, created: Instant) -> Self {
+        Self {
+            service,
+            settled_at: created + service * EARLIER_WORK,
+        }
+    }
+
+    fn is_met(&self, service: Duration, started: Instant) -> bool {
+        let usual = service.as_secs_f64() <= self.service.as_secs_f64() * SIBLING_FACTOR;
+        usual && started >= self.settled_at
+    }
+}
+
+/// An answer as the ramp counts it.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// Place of the request in the order of starts.
+    pub order: Order,
+    /// When it was started.
+    pub started: Instant,
+    /// Its service time.
+    pub service: Duration,
+    /// Place of the next request to start.
+    pub next: Order,
+}
+
 /// The ramp of one target.
 #[derive(Clone, Debug)]
 pub struct Ramp {
@@ -50,6 +95,7 @@
     warm_after: u32,
     climb: Option<Climb>,
     far: u32,
+    reference: Option<Reference>,
     /// Starts below it happened before the last broken connection that put the target back.
     alive_since: Order,
 }
@@ -63,6 +109,7 @@
             warm_after: 0,
             climb: None,
             far: 0,
+            reference: None,
             alive_since: 0,
         };
         ramp.climb = Some(Climb::new(origin, 0));
@@ -88,6 +135,12 @@
         bottom + share as u32
     }
 
+    /// Takes the service time of warm siblings. Beside a target that was found running, an answer
+    /// that is as quick counts for more: a cold target is slower.
+    pub fn set_reference(&mut self, reference: Option<Reference>) {
+        self.reference = reference;
+    }
+
     /// Takes another contract; a warm target stays warm.
     pub fn set_contract(&mut self, contract: &Contract) {
         self.slots = contract.slots.max(1);
@@ -97,15 +150,10 @@
     }
 
     /// Takes an answer; true when it put the target back on the ramp.
-    pub fn answered(
-        &mut self,
-        order: Order,
-        service: Duration,
-        profile: &mut Profile,
-        next: Order,
-    ) -> bool {
+    pub fn answered(&mut self, answer: Answer, profile: &mut Profile) -> bool {
+        let service = answer.service;
         if self.climb.is_some() {
-            self.advance(order, service, profile);
+            self.advance(answer, profile);
             return false;
         }
         if !profile.is_far_above(service) {
@@ -117,7 +165,7 @@
         if self.far < FAR_ANSWERS {
             return false;
         }
-        self.fall(Origin::Slow, next);
+        self.fall(Origin::Slow, answer.next);
         true
     }
 
@@ -132,14 +180,21 @@
         true
     }
 
-    fn advance(&mut self, order: Order, service: Duration, profile: &mut Profile) {
+    fn advance(&mut self, answer: Answer, profile: &mut Profile) {
+        let service = answer.service;
         let Some(climb) = &mut self.climb else {
             return;
         };
-        if order < climb.first {
+        if answer.order < climb.first {
             return;
         }
-        let normal = climb.origin == Origin::Slow && profile.is_normal(service);
+        let normal = match climb.origin {
+            Origin::Cold => false,
+            Origin::Slow => profile.is_normal(service),
+            Origin::Restart => self
+                .reference
+                .is_some_and(|reference| reference.is_met(service, answer.started)),
+        };
         let credit = if normal { NORMAL_CREDIT } else { 1 };
         climb.progress = climb.progress.saturating_add(credit);
         if climb.progress >= self.warm_after / 2 {
--- a/crates/basilbay_admission/tests/limit.rs
+++ b/crates/basilbay_admission/tests/limit.rs
@@ -5,7 +5,7 @@
 #[path = "support/world.rs"]
 mod world;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use basilbay_admission::gate::Start;
 use basilbay_admission::limit::{Limit, Sample};
@@ -103,6 +103,7 @@
             let sample = Sample {
                 order,
                 next: order + 1,
+                started: Instant::now(),
                 service: Duration::from_millis(millis),
                 running: allowed,
                 allowed,
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -156,6 +156,11 @@
         desk.act();
     }
 
+    /// Takes the usual service time of warm siblings.
+    pub fn set_sibling_latency(&self, latency: Option<Duration>) {
+        self.lock().gate.set_sibling_latency(latency);
+    }
+
     /// Sets or clears a reason for taking no new work.
     pub fn set_state(&self, reason: Closed, holds: bool) {
         let mut desk = self.lock();
--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -21,6 +21,7 @@
 use basilbay_wire::control::{CONFIG_PATH, ConfigBody, ROSTER_PATH, RosterBody};
 use basilbay_wire::datagram::{Body as Message, Datagram};
 use basilbay_wire::frame::{self, FORMAT, MAX_CONTROL_BYTES, MAX_DATAGRAM_BYTES};
+use basilbay_wire::load::State;
 
 use crate::body::{self, Body};
 use crate::daemon::Daemon;
@@ -95,6 +96,9 @@
             node.tick(now);
         }
         settle(&daemon);
+        if state == State::Cold {
+            daemon.compare_with_siblings(now);
+        }
     }
 }
 
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -320,6 +320,15 @@
         }
     }
 
+    /// Tells the gate how quick warm siblings of the own target are.
+    pub fn compare_with_siblings(&self, now: Instant) {
+        let own = &self.settings.id;
+        let latency = self
+            .router(&self.settings.service)
+            .and_then(|shard| shard.lock().warm_latency(own, now));
+        self.admission.set_sibling_latency(latency);
+    }
+
     /// Notes that an instance said itself that it leaves.
     pub fn note_left(&self, id: &InstanceId) {
         let view = self.view.load();
--- a/crates/basilbay_routing/src/board.rs
+++ b/crates/basilbay_routing/src/board.rs
@@ -88,12 +88,16 @@
     /// A state that forbids work counts for a short while only, since the datagram that lifts it
     /// may be lost.
     pub fn takes_work(&self, now: Instant) -> bool {
-        let state_is_old = self
-            .heard_at
-            .is_none_or(|heard_at| now.saturating_duration_since(heard_at) > STATE_TERM);
+        let state_is_old = !self.heard_within(STATE_TERM, now);
         self.allowed && !self.left && (self.load.state.takes_work() || state_is_old)
     }
 
+    /// Whether figures came no longer ago than `term`.
+    pub fn heard_within(&self, term: Duration, now: Instant) -> bool {
+        self.heard_at
+            .is_some_and(|heard_at| now.saturating_duration_since(heard_at) <= term)
+    }
+
     /// Requests of this daemon that are with the target.
     pub fn own_in_flight(&self) -> u32 {
         u32::try_from(self.outstanding.len()).unwrap_or(u32::MAX)
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -8,7 +8,7 @@
 use basilbay_model::id::{DomainId, InstanceId, ServiceId};
 use basilbay_model::roster::{Roster, State as Listed};
 use basilbay_model::service::Policy as Name;
-use basilbay_wire::load::Load;
+use basilbay_wire::load::{Load, State};
 
 use crate::board::{Board, CallId, Target};
 use crate::policy::{self, Policy};
@@ -28,6 +28,9 @@
     Abandoned,
 }
 
+/// Time for which a service time that a sibling reported is taken as usual.
+const WARM_TERM: Duration = Duration::from_secs(10);
+
 /// Picks that are drawn to estimate each target's share.
 const SHARE_DRAWS: u32 = 1000;
 
@@ -191,6 +194,22 @@
         self.board.hear(id, load, now);
     }
 
+    /// Median service time that warm targets other than `own` reported lately.
+    pub fn warm_latency(&self, own: &str, now: Instant) -> Option<Duration> {
+        let mut latencies: Vec<u32> = self
+            .board
+            .targets
+            .iter()
+            .filter(|target| &*target.id != own && target.load.state == State::Warm)
+            .filter(|target| target.heard_within(WARM_TERM, now))
+            .map(|target| target.load.latency_us)
+            .filter(|latency| *latency > 0)
+            .collect();
+        latencies.sort_unstable();
+        let median = latencies.get(latencies.len() / 2)?;
+        Some(Duration::from_micros(u64::from(*median)))
+    }
+
     /// Starts to count the attempts of a call.
     pub fn attempts(&mut self, idempotent: bool, deadline: Instant, allowance: u8) -> Attempts {
         self.budget.deposit();
