Send metrics by StatsD and list them

Cause: the metrics client existed but nothing was measured with it.

Each metric has an entry in the code and a row on docs/metrics.md, held together by a test.

--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -11,7 +11,7 @@
 use basilbay_admission::gate::Closed;
 use basilbay_events::catalogue;
 use basilbay_events::emit;
-use basilbay_events::metrics::Metrics;
+use basilbay_events::metrics::{self, Metrics};
 use basilbay_keys::history::History;
 use basilbay_keys::key;
 use basilbay_membership::node::Identity;
@@ -26,7 +26,7 @@
 use basilbay_wire::datagram::Body as Message;
 use basilbay_wire::load::Load;
 
-use crate::admission::Admission;
+use crate::admission::{Admission, Counts};
 use crate::control::{self, Control};
 use crate::health::{self, Health};
 use crate::home::Registry;
@@ -54,6 +54,9 @@
 /// Time between two looks at keys whose retention is over.
 const FORGET_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two sends of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Configuration and roster in force.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -193,6 +196,7 @@
         tokio::spawn(health::measure(self.clone()));
         tokio::spawn(admin::serve(self.clone()));
         tokio::spawn(forget(self.clone()));
+        tokio::spawn(gauges(self.clone()));
         tokio::spawn(stop::on_signal(self.clone()));
         let callers = server::accept(self.clone(), callers, Side::Callers);
         let peers = server::accept(self.clone(), peers, Side::Peers);
@@ -384,6 +388,28 @@
     }
 }
 
+/// Sends the gauges, and the counters that the gate keeps, for as long as the daemon runs.
+async fn gauges(daemon: Arc<Daemon>) {
+    let mut before = Counts::default();
+    loop {
+        tokio::time::sleep(GAUGE_INTERVAL).await;
+        let load = daemon.admission.load();
+        let counts = daemon.admission.counts();
+        let age = daemon.control.node().roster_age(SystemTime::now());
+        let age_ms = age.map_or(0, |age| age.as_millis() as u64);
+        let metrics = &daemon.metrics;
+        metrics.gauge(metrics::IN_FLIGHT, u64::from(load.in_flight));
+        metrics.gauge(metrics::LIMIT, u64::from(load.limit));
+        metrics.gauge(metrics::QUEUED, u64::from(load.queued));
+        metrics.gauge(metrics::KEYS, daemon.registry.len() as u64);
+        metrics.gauge(metrics::CONFIG_VERSION, daemon.view().config.version);
+        metrics.gauge(metrics::ROSTER_AGE, age_ms);
+        metrics.count(metrics::RUNS_COMPLETED, counts.completed - before.completed);
+        metrics.count(metrics::RUNS_REFUSED, counts.refused - before.refused);
+        before = counts;
+    }
+}
+
 async fn forget(daemon: Arc<Daemon>) {
     loop {
         tokio::time::sleep(FORGET_INTERVAL).await;
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use tracing::Instrument;
 
+use basilbay_events::metrics;
 use basilbay_keys::suspect;
 use basilbay_model::id::InstanceId;
 use basilbay_routing::board::CallId;
@@ -27,6 +28,7 @@
 
 /// Serves a request of a caller.
 pub async fn serve(daemon: &Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
+    let received_at = Instant::now();
     let reply = match receive(daemon, request).await {
         Ok((errand, body)) => {
             let span = errand.span("entry", &daemon.settings.id);
@@ -34,6 +36,15 @@
         }
         Err(problem) => Reply::Problem(problem),
     };
+    let outcome = match &reply {
+        Reply::Answer(_) => metrics::CALLS_ANSWERED,
+        Reply::Problem(problem) if problem.outcome == Outcome::NotRun => metrics::CALLS_NOT_RUN,
+        Reply::Problem(_) => metrics::CALLS_UNKNOWN,
+    };
+    daemon.metrics.count(outcome, 1);
+    daemon
+        .metrics
+        .time(metrics::CALL_TIME, received_at.elapsed());
     match reply {
         Reply::Answer(response) => response,
         Reply::Problem(problem) => {
@@ -114,6 +125,7 @@
         if !course.goes_on(returned.reply, id, &mut shard.lock().budget) {
             return course.give_up(errand);
         }
+        daemon.metrics.count(metrics::ATTEMPTS_REPEATED, 1);
     }
 }
 
--- /dev/null
+++ b/crates/basilbay_events/tests/metrics.rs
@@ -0,0 +1,44 @@
+//! The metrics page against the list in the code, and the datagrams that are sent.
+
+use std::net::UdpSocket;
+use std::time::Duration;
+
+use basilbay_events::metrics::{self, Metrics, PREFIX};
+
+/// Guards against a metrics page that lacks a metric or tells of one that is gone.
+#[test]
+fn page_complete() {
+    let page = include_str!("../../../docs/metrics.md");
+    let stated: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
+    let rows: Vec<String> = metrics::ALL
+        .iter()
+        .map(|metric| {
+            let sort = format!("{:?}", metric.sort).to_lowercase();
+            format!(
+                "| `{PREFIX}.{}` | {sort} | {} |",
+                metric.name, metric.meaning
+            )
+        })
+        .collect();
+    assert_eq!(stated, rows, "rows to state:\n{}", rows.join("\n"));
+}
+
+/// Guards against metrics that never leave the process.
+#[test]
+fn datagrams_arrive() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    let metrics = Metrics::new(Some(socket.local_addr().unwrap())).unwrap();
+    for _ in 0..100 {
+        metrics.count(metrics::CALLS_ANSWERED, 3);
+    }
+    let mut buffer = [0; 2048];
+    let length = socket.recv(&mut buffer).unwrap();
+    let text = String::from_utf8_lossy(&buffer[..length]).into_owned();
+    assert!(text.contains("basilbay.calls.answered:3|c"), "{text}");
+}
