Bind late: ask other targets before waiting at a full one

A target's reported service time stays high after a burst, so the pick avoided targets that had recovered and filled the others; and a request waited at the first full target while others had free slots.

The cost of a target is now its expected wait, with slowness counted only where it is clear; figures lose half of their weight within one service time; the first two attempts of a call are refused by a full target in place of waiting.

--- a/crates/basilbay_admission/benches/admission.rs
+++ b/crates/basilbay_admission/benches/admission.rs
@@ -43,6 +43,7 @@
             weight: 1 + (self.next % 3) as u32,
             deadline: self.now + Duration::from_secs(2),
             suspect: false,
+            may_wait: true,
         };
         self.next += 1;
         if self.gate.offer(black_box(ticket), self.now) == Decision::Run {
--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -145,6 +145,9 @@
             self.start(ticket, now);
             return Decision::Run;
         }
+        if !ticket.may_wait {
+            return Decision::Refuse(Cause::NoCapacity);
+        }
         self.enqueue(ticket, now)
     }
 
--- a/crates/basilbay_admission/src/request.rs
+++ b/crates/basilbay_admission/src/request.rs
@@ -22,4 +22,7 @@
     pub deadline: Instant,
     /// Whether the request was on a target that crashed.
     pub suspect: bool,
+    /// Whether the request may wait here; otherwise it is refused when it cannot run at once, so
+    /// that it can run elsewhere.
+    pub may_wait: bool,
 }
--- a/crates/basilbay_admission/tests/support/request.rs
+++ b/crates/basilbay_admission/tests/support/request.rs
@@ -18,6 +18,7 @@
         weight,
         deadline: now + Duration::from_millis(millis),
         suspect: false,
+        may_wait: true,
     }
 }
 
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -35,6 +35,8 @@
     pub deadline: Instant,
     /// Whether it may crash the target.
     pub suspect: bool,
+    /// Whether it may wait for a slot.
+    pub may_wait: bool,
     /// Hash that tells it apart when the target crashes.
     pub fingerprint: u64,
 }
@@ -102,6 +104,7 @@
                 weight: demand.weight,
                 deadline: demand.deadline,
                 suspect: demand.suspect,
+                may_wait: demand.may_wait,
             };
             let decision = desk.gate.offer(ticket, Instant::now());
             desk.act();
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -12,14 +12,14 @@
 use basilbay_model::id::InstanceId;
 use basilbay_routing::board::CallId;
 use basilbay_routing::retry::{Attempts, Budget};
-use basilbay_routing::router::Ending;
+use basilbay_routing::router::{Ending, Pick};
 use basilbay_wire::hop::Role;
 use basilbay_wire::problem::{Cause, Outcome, Problem};
 
 use crate::answer::{self, Reply};
 use crate::body::{Body, Received};
 use crate::daemon::{Daemon, Shard};
-use crate::errand::Errand;
+use crate::errand::{Errand, Terms};
 use crate::home;
 use crate::hop::{self, Return};
 use crate::intake;
@@ -103,24 +103,28 @@
         call: daemon.next_call(),
         attempts,
         tried: Vec::new(),
+        failed: 0,
         may_have_run: false,
         last: None,
         body,
     };
     loop {
+        let may_wait = course.attempts.may_wait();
+        let excluded = course.excluded(may_wait);
         let picked = shard
             .lock()
-            .pick(course.call, &course.tried, Instant::now());
-        let Some(id) = picked else {
+            .pick(course.call, excluded, may_wait, Instant::now());
+        let Some(pick) = picked else {
             return course.give_up(errand);
         };
+        let id = pick.id.clone();
         let Some(taken) = course.body.take() else {
             let now = Instant::now();
             shard.lock().end(&id, course.call, Ending::Abandoned, now);
             return course.give_up(errand);
         };
         let under_way = UnderWay::new(&shard, id.clone(), course.call);
-        let returned = attempt(daemon, errand, &id, &course.attempts, taken).await;
+        let returned = attempt(daemon, errand, &pick, &course.attempts, taken).await;
         under_way.end(&returned);
         if !course.goes_on(returned.reply, id, &mut shard.lock().budget) {
             return course.give_up(errand);
@@ -133,7 +137,9 @@
 struct Course {
     call: CallId,
     attempts: Attempts,
+    /// Targets that were tried, those that failed first.
     tried: Vec<InstanceId>,
+    failed: usize,
     /// Whether an attempt ended without saying that the request has not run.
     may_have_run: bool,
     last: Option<Reply>,
@@ -152,14 +158,28 @@
         if let Reply::Problem(problem) = &reply {
             self.may_have_run |= problem.outcome == Outcome::Unknown;
         }
+        if matches!(&reply, Reply::Problem(problem) if problem.cause == Cause::NoCapacity) {
+            self.tried.push(id);
+        } else {
+            self.tried.insert(0, id);
+            self.failed += 1;
+        }
         self.last = Some(reply);
-        self.tried.push(id);
         let Some(outcome) = outcome else {
             return false;
         };
         self.body.is_kept() && self.attempts.again(outcome, budget, Instant::now())
     }
 
+    /// Targets that are not asked again. One that was only full may be the best to wait at.
+    fn excluded(&self, may_wait: bool) -> &[InstanceId] {
+        if may_wait {
+            &self.tried[..self.failed]
+        } else {
+            &self.tried
+        }
+    }
+
     /// The last word to the caller.
     ///
     /// A refusal of the last attempt does not make the request "not run" if an earlier attempt
@@ -231,14 +251,19 @@
 async fn attempt(
     daemon: &Arc<Daemon>,
     errand: &Errand,
-    id: &InstanceId,
+    pick: &Pick,
     attempts: &Attempts,
     body: Body,
 ) -> Return {
-    let allowance = attempts.allowance.passed_on();
+    let Pick { id, may_wait } = pick;
+    let terms = Terms {
+        role: Role::Run,
+        allowance: attempts.allowance.passed_on(),
+        may_wait: *may_wait,
+    };
     if *id == daemon.settings.id {
         return Return {
-            reply: target::run(daemon, errand, allowance, body).await,
+            reply: target::run(daemon, errand, terms, body).await,
             load: Some(daemon.admission.load()),
             is_reachable: true,
         };
@@ -247,7 +272,7 @@
     match view.roster.instance(id) {
         Some(instance) => {
             let address = instance.peer;
-            hop::send(daemon, errand, id, address, Role::Run, allowance, body).await
+            hop::send(daemon, errand, id, address, terms, body).await
         }
         None => Return {
             reply: Reply::Problem(Problem::not_run(
--- a/crates/basilbay_daemon/src/errand.rs
+++ b/crates/basilbay_daemon/src/errand.rs
@@ -16,6 +16,17 @@
 use crate::intake::Intake;
 use crate::trace::Context;
 
+/// Terms of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// What the next daemon is asked to do.
+    pub role: Role,
+    /// Extra runs that the attempt may cause below.
+    pub allowance: u8,
+    /// Whether the request may wait at a full target.
+    pub may_wait: bool,
+}
+
 /// What is known of a request besides its body.
 #[derive(Clone, Debug)]
 pub struct Errand {
@@ -77,8 +88,7 @@
     pub fn hop(
         &self,
         origin: &InstanceId,
-        role: Role,
-        allowance: u8,
+        terms: Terms,
         config_version: Version,
         now: Instant,
     ) -> Hop {
@@ -89,11 +99,12 @@
             idempotent: self.intake.idempotent,
             weight: self.intake.weight,
             timeout_ms: self.timeout_ms(now),
-            allowance,
+            allowance: terms.allowance,
             depth: self.intake.depth,
             origin: origin.clone(),
             config_version,
-            role,
+            may_wait: terms.may_wait,
+            role: terms.role,
             fingerprint: self.fingerprint,
         }
     }
--- a/crates/basilbay_daemon/src/home.rs
+++ b/crates/basilbay_daemon/src/home.rs
@@ -22,7 +22,7 @@
 use crate::body::{self, Body, Received};
 use crate::daemon::Daemon;
 use crate::entry;
-use crate::errand::Errand;
+use crate::errand::{Errand, Terms};
 use crate::hop;
 
 /// Keys that one daemon remembers; at about 100 bytes each they take some 20 MB.
@@ -127,18 +127,12 @@
     let Some(taken) = body.take() else {
         return unknown("the request's body is gone");
     };
-    let allowance = errand.intake.allowance;
-    let address = instance.peer;
-    let returned = hop::send(
-        daemon,
-        &errand,
-        &home,
-        address,
-        Role::Home,
-        allowance,
-        taken,
-    )
-    .await;
+    let terms = Terms {
+        role: Role::Home,
+        allowance: errand.intake.allowance,
+        may_wait: true,
+    };
+    let returned = hop::send(daemon, &errand, &home, instance.peer, terms, taken).await;
     match returned.reply {
         // This send has not run, but an earlier one with the same key may have.
         Reply::Problem(problem) if !returned.is_reachable => unknown(problem.to_string()),
--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -21,7 +21,7 @@
 use crate::body::{self, Body, Received};
 use crate::control;
 use crate::daemon::Daemon;
-use crate::errand::Errand;
+use crate::errand::{Errand, Terms};
 use crate::home;
 use crate::intake::Intake;
 use crate::pool::Failure;
@@ -47,13 +47,12 @@
     errand: &Errand,
     peer: &InstanceId,
     address: SocketAddr,
-    role: Role,
-    allowance: u8,
+    terms: Terms,
     body: Body,
 ) -> Return {
     let version = daemon.view().config.version;
     let now = Instant::now();
-    let hop = errand.hop(&daemon.settings.id, role, allowance, version, now);
+    let hop = errand.hop(&daemon.settings.id, terms, version, now);
     let trace = errand.trace.child(daemon.draw());
     let request = errand.to_daemon(&hop, trace, body);
     let link = daemon.links.to(peer, address);
@@ -182,7 +181,12 @@
     match hop.role {
         Role::Run => {
             let body = incoming.map_err(body::Error::from).boxed_unsync();
-            target::run(daemon, &errand, hop.allowance, body).await
+            let terms = Terms {
+                role: hop.role,
+                allowance: hop.allowance,
+                may_wait: hop.may_wait,
+            };
+            target::run(daemon, &errand, terms, body).await
         }
         Role::Home => own(daemon, errand, incoming).await,
     }
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -19,18 +19,18 @@
 use crate::answer::{self, Reply};
 use crate::body::{self, Body};
 use crate::daemon::Daemon;
-use crate::errand::Errand;
+use crate::errand::{Errand, Terms};
 use crate::pool::{Connection, Failure, Pool};
 
 /// Runs a request on the own target, once it is admitted.
-pub async fn run(daemon: &Arc<Daemon>, errand: &Errand, allowance: u8, body: Body) -> Reply {
-    match admit(daemon, errand).await {
-        Ok(slot) => exchange(daemon, errand, allowance, body, slot).await,
+pub async fn run(daemon: &Arc<Daemon>, errand: &Errand, terms: Terms, body: Body) -> Reply {
+    match admit(daemon, errand, terms.may_wait).await {
+        Ok(slot) => exchange(daemon, errand, terms.allowance, body, slot).await,
         Err(problem) => Reply::Problem(problem),
     }
 }
 
-async fn admit(daemon: &Arc<Daemon>, errand: &Errand) -> Result<Slot, Problem> {
+async fn admit(daemon: &Arc<Daemon>, errand: &Errand, may_wait: bool) -> Result<Slot, Problem> {
     if errand.intake.service != daemon.settings.service {
         let detail = format!(
             "this target belongs to service '{}'",
@@ -47,6 +47,7 @@
         weight: errand.intake.weight,
         deadline: errand.deadline,
         suspect: verdict == Verdict::Alone,
+        may_wait,
         fingerprint: errand.fingerprint,
     };
     check_trust(daemon)?;
--- a/crates/basilbay_load/src/quick.rs
+++ b/crates/basilbay_load/src/quick.rs
@@ -5,8 +5,8 @@
 use basilbay_fakes::targets::fault::Noise;
 use serde::{Deserialize, Serialize};
 
-use crate::compare::{self, Comparison, Contest};
 use crate::client::Crowd;
+use crate::compare::{self, Comparison, Contest};
 use crate::fleet::Fleet;
 use crate::latency;
 use crate::scenario::Scenario;
--- a/crates/basilbay_load/src/scenario.rs
+++ b/crates/basilbay_load/src/scenario.rs
@@ -182,7 +182,12 @@
         crowd.rename(&format!("{}-{round}", self.name));
         let drive = async |fleet: &mut Fleet| act::drive(fleet, &self.events).await;
         let trial = trial::run(fleet, crowd, &plan, drive).await?;
-        let verdict = Verdict::new(&self.limits, &trial.account, &fleet.deployment, self.seconds);
+        let verdict = Verdict::new(
+            &self.limits,
+            &trial.account,
+            &fleet.deployment,
+            self.seconds,
+        );
         Ok((trial, verdict))
     }
 
--- a/crates/basilbay_load/src/trial.rs
+++ b/crates/basilbay_load/src/trial.rs
@@ -56,7 +56,9 @@
         let streams = Stream::of(&fleet.deployment, WARM_UP_LOAD, 0.0);
         let plan = Plan::draw(streams, WARM_UP_ROUND, &[], round);
         crowd.rename(&format!("warm-up-{round}"));
-        let account = run(fleet, crowd, &plan, async |_: &mut Fleet| Ok(())).await?.account;
+        let account = run(fleet, crowd, &plan, async |_: &mut Fleet| Ok(()))
+            .await?
+            .account;
         if account.all.refused * WARM_UP_REFUSED < account.all.sent {
             break;
         }
--- a/crates/basilbay_load/tests/account.rs
+++ b/crates/basilbay_load/tests/account.rs
@@ -34,7 +34,9 @@
 
     fn booking(&self) -> usize {
         let mut streams = self.streams.iter();
-        streams.position(|stream| &*stream.kind == "booking").unwrap()
+        streams
+            .position(|stream| &*stream.kind == "booking")
+            .unwrap()
     }
 
     fn told(&mut self, stream: usize, told: &[Told]) -> &mut Record {
@@ -103,7 +105,10 @@
     case.run("r1", SECOND);
     let account = case.account();
     assert_eq!(account.breaches.total(), 0);
-    assert_eq!((account.all.sent, account.all.answered, account.all.refused), (3, 2, 1));
+    assert_eq!(
+        (account.all.sent, account.all.answered, account.all.refused),
+        (3, 2, 1)
+    );
     let weight = case.streams[booking].weight;
     let fit = case.streams[FIT].weight;
     let goodput = f64::from(fit + weight) / f64::from(fit + 2 * weight);
@@ -124,15 +129,30 @@
         classify(&record, &case.streams[stream])
     };
     assert_eq!(class(FIT, &[Told::Answer(200)], 300_000, true), Class::Late);
-    assert_eq!(class(FIT, &[Told::Answer(200)], 1000, false), Class::Foreign);
+    assert_eq!(
+        class(FIT, &[Told::Answer(200)], 1000, false),
+        Class::Foreign
+    );
     assert_eq!(class(FIT, &[Told::Answer(500)], 1000, true), Class::Failed);
     assert_eq!(class(FIT, &[Told::Unknown(504)], 1000, true), Class::Late);
     assert_eq!(class(FIT, &[Told::Unknown(502)], 1000, true), Class::Lost);
     assert_eq!(class(FIT, &[Told::Silent], 1000, true), Class::Lost);
-    assert_eq!(class(FIT, &[Told::Broken, Told::NotRun(503)], 1000, true), Class::Refused);
-    assert_eq!(class(booking, &[Told::Unknown(502)], 1000, true), Class::Unknown);
-    assert_eq!(class(booking, &[Told::Broken, Told::NotRun(503)], 1000, true), Class::Unknown);
-    assert_eq!(class(booking, &[Told::Unreachable], 1000, true), Class::Refused);
+    assert_eq!(
+        class(FIT, &[Told::Broken, Told::NotRun(503)], 1000, true),
+        Class::Refused
+    );
+    assert_eq!(
+        class(booking, &[Told::Unknown(502)], 1000, true),
+        Class::Unknown
+    );
+    assert_eq!(
+        class(booking, &[Told::Broken, Told::NotRun(503)], 1000, true),
+        Class::Unknown
+    );
+    assert_eq!(
+        class(booking, &[Told::Unreachable], 1000, true),
+        Class::Refused
+    );
 }
 
 /// Guards against runs that happen twice unnoticed: by request id and by key.
@@ -141,7 +161,8 @@
     let mut case = Case::new();
     let booking = case.booking();
     case.told(booking, &[Told::Answer(200)]);
-    case.told(booking, &[Told::Unknown(502), Told::Answer(200)]).key = Some(Arc::from("k"));
+    case.told(booking, &[Told::Unknown(502), Told::Answer(200)])
+        .key = Some(Arc::from("k"));
     case.told(FIT, &[Told::Answer(200)]);
     for request in ["r0", "r0", "r2", "r2"] {
         case.run(request, SECOND);
--- a/crates/basilbay_load/tests/fleet.rs
+++ b/crates/basilbay_load/tests/fleet.rs
@@ -28,12 +28,19 @@
     assert!(processes.iter().all(|process| runs(*process)));
     let streams: Vec<Stream> = Stream::of(&fleet.deployment, 0.0, 0.0)
         .into_iter()
-        .map(|stream| Stream { rate: 20.0, ..stream })
+        .map(|stream| Stream {
+            rate: 20.0,
+            ..stream
+        })
         .collect();
     let plan = Plan::draw(streams, Duration::from_millis(500), &[], 1);
-    let crowd = Crowd::connect(Settings::new("test"), &fleet.entries()).await.unwrap();
+    let crowd = Crowd::connect(Settings::new("test"), &fleet.entries())
+        .await
+        .unwrap();
     let nothing = async |_: &mut Fleet| Ok(());
-    let trial = trial::run(&mut fleet, &crowd, &plan, nothing).await.unwrap();
+    let trial = trial::run(&mut fleet, &crowd, &plan, nothing)
+        .await
+        .unwrap();
     assert_eq!(trial.records.len(), plan.arrivals.len());
     assert_eq!(trial.account.all.sent, plan.arrivals.len() as u64);
     assert!(trial.account.all.answered > 0);
--- a/crates/basilbay_load/tests/plan.rs
+++ b/crates/basilbay_load/tests/plan.rs
@@ -43,11 +43,20 @@
 #[test]
 fn sudden_steps() {
     let steps = [
-        Step { for_ms: 10.0, factor: 0.0 },
-        Step { for_ms: 10.0, factor: 2.0 },
+        Step {
+            for_ms: 10.0,
+            factor: 0.0,
+        },
+        Step {
+            for_ms: 10.0,
+            factor: 2.0,
+        },
     ];
     let plan = Plan::draw(one_stream(1000.0), Duration::from_secs(5), &steps, 3);
-    let quiet = plan.arrivals.iter().filter(|arrival| arrival.at.as_micros() % 20_000 < 10_000);
+    let quiet = plan
+        .arrivals
+        .iter()
+        .filter(|arrival| arrival.at.as_micros() % 20_000 < 10_000);
     assert_eq!(quiet.count(), 0);
     assert!((4_700..5_300).contains(&plan.arrivals.len()));
 }
--- a/crates/basilbay_routing/benches/pick.rs
+++ b/crates/basilbay_routing/benches/pick.rs
@@ -35,9 +35,9 @@
             bencher.iter(|| {
                 call += 1;
                 now += BETWEEN_CALLS;
-                let picked = router.pick(call, &[], now);
-                if let Some(id) = picked {
-                    router.end(&id, call, Ending::Answered, now);
+                let picked = router.pick(call, &[], false, now);
+                if let Some(pick) = picked {
+                    router.end(&pick.id, call, Ending::Answered, now);
                 }
             });
         });
--- a/crates/basilbay_routing/src/board.rs
+++ b/crates/basilbay_routing/src/board.rs
@@ -11,8 +11,9 @@
 
 use crate::straggler::Ejection;
 
-/// Age at which a figure has lost most of its weight; load shifts within milliseconds.
-const HALF_LIFE: Duration = Duration::from_millis(100);
+/// Bounds of the age at which a figure has lost half of its weight. What runs on a target changes
+/// within one service time, so the age follows the service time between them.
+const HALF_LIFE: (f64, f64) = (0.005, 0.1);
 
 /// Weight of a new service time in the moving average.
 const LATENCY_GAIN: f64 = 0.2;
@@ -104,20 +105,27 @@
     }
 
     /// How much the reported figures still count: 1 when fresh, towards 0 with age.
-    pub fn confidence(&self, now: Instant) -> f64 {
+    pub fn confidence(&self, half_life: f64, now: Instant) -> f64 {
         let Some(heard_at) = self.heard_at else {
             return 0.0;
         };
         let age = now.saturating_duration_since(heard_at).as_secs_f64();
-        0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+        0.5_f64.powf(age / half_life)
+    }
+
+    /// Whether the target is known to be full, by figures that are fresh.
+    pub fn is_full(&self, summary: &Summary, now: Instant) -> bool {
+        let is_fresh = self.heard_within(Duration::from_secs_f64(summary.half_life), now);
+        is_fresh && self.load.in_flight >= self.load.limit
     }
 
     /// Estimated requests on the target, waiting ones included.
     ///
-    /// An old figure is drawn towards `typical`, the mean of the service: taking stale figures at
+    /// An old figure is drawn towards the mean of the service: taking stale figures at
     /// their word sends every caller to the same target.
-    pub fn estimate(&self, typical: f64, now: Instant) -> f64 {
-        let confidence = self.confidence(now);
+    pub fn estimate(&self, summary: &Summary, now: Instant) -> f64 {
+        let typical = summary.typical;
+        let confidence = self.confidence(summary.half_life, now);
         let reported = f64::from(self.load.in_flight + self.load.queued);
         let blended = confidence * reported + (1.0 - confidence) * typical;
         let estimate = blended + f64::from(self.sent_since);
@@ -163,6 +171,8 @@
     pub due_at: Option<Instant>,
     /// Mean of the reported requests on a target.
     pub typical: f64,
+    /// Age at which a figure has lost half of its weight, in seconds.
+    pub half_life: f64,
     /// Median of the service times, in seconds; `None` with fewer than two usable targets.
     pub median_latency: Option<f64>,
     /// Targets that may be avoided at the same time.
@@ -258,16 +268,27 @@
                 heard += 1.0;
             }
         }
+        let median_latency = lower_median(&mut latencies);
         self.summary = Summary {
             due_at: Some(now + REVIEW_INTERVAL),
             typical: if heard > 0.0 { reported / heard } else { 0.0 },
-            median_latency: lower_median(&mut latencies),
+            median_latency,
+            half_life: median_latency
+                .unwrap_or(HALF_LIFE.1)
+                .clamp(HALF_LIFE.0, HALF_LIFE.1),
             most_ejected: latencies.len() / 2,
         };
         true
     }
 }
 
+impl Summary {
+    /// Usual service time, in seconds.
+    pub fn usual_latency(&self) -> f64 {
+        self.median_latency.unwrap_or(UNKNOWN_LATENCY.as_secs_f64())
+    }
+}
+
 /// The lower median: with two targets, the fast one is the measure.
 fn lower_median(values: &mut [f64]) -> Option<f64> {
     if values.len() < 2 {
--- a/crates/basilbay_routing/src/policy.rs
+++ b/crates/basilbay_routing/src/policy.rs
@@ -17,8 +17,9 @@
     /// Picks one of `eligible`, which are positions on the board and never empty.
     fn pick(&mut self, board: &Board, eligible: &[usize], now: Instant) -> usize;
 
-    /// Whether stragglers are taken out of `eligible`; the baselines go without.
-    fn avoids_stragglers(&self) -> bool {
+    /// Whether the policy uses what targets say: stragglers are taken out of `eligible`, and a
+    /// request waits at a full target only after others refused it. The baselines go without.
+    fn uses_feedback(&self) -> bool {
         false
     }
 }
--- a/crates/basilbay_routing/src/policy/balanced.rs
+++ b/crates/basilbay_routing/src/policy/balanced.rs
@@ -1,7 +1,7 @@
 //! The default policy: the cheapest of a few sampled targets.
 //!
-//! The cost of a target is the time that a request is expected to take there: its service time,
-//! stretched by how full it is, plus the way to another failure domain. Two targets of the own
+//! The cost of a target is the time that a request is expected to lose there: its wait for a slot,
+//! the slowness of a straggler, and the way to another failure domain. Two targets of the own
 //! domain and two of the others are compared, so that requests stay near while there is headroom
 //! and spill over smoothly. Comparing a sample in place of all targets keeps daemons that share
 //! the same old figures from choosing the same target together.
@@ -19,6 +19,15 @@
 /// Targets that are compared in each group.
 const CHOICES: usize = 2;
 
+/// Expected wait at a target whose last slot was just taken, in usual service times.
+const FULL_WAIT: f64 = 0.5;
+
+/// Service time over the usual one from which a target counts as slower.
+const CLEARLY_SLOWER: f64 = 2.0;
+
+/// Most that slowness adds, in usual service times.
+const MOST_SLOWNESS: f64 = 8.0;
+
 /// Random part of a cost. Figures that have aged differ by next to nothing, and must not decide.
 const JITTER: f64 = 0.05;
 
@@ -42,7 +51,6 @@
         board: &Board,
         group: impl Iterator<Item = usize> + Clone,
         best: &mut Option<(f64, usize)>,
-        typical: f64,
         now: Instant,
     ) {
         let size = group.clone().count();
@@ -57,7 +65,7 @@
                 continue;
             };
             let jitter = 1.0 + JITTER * self.rng.f64();
-            let cost = jitter * cost(&board.targets[index], board.slots, typical, now);
+            let cost = jitter * cost(&board.targets[index], board, now);
             if best.is_none_or(|(least, _)| cost < least) {
                 *best = Some((cost, index));
             }
@@ -67,39 +75,47 @@
 
 impl Policy for Balanced {
     fn pick(&mut self, board: &Board, eligible: &[usize], now: Instant) -> usize {
-        let typical = board.summary.typical;
         let is_local = |index: &usize| board.targets[*index].is_local;
         let local = eligible.iter().copied().filter(is_local);
         let remote = eligible.iter().copied().filter(|index| !is_local(index));
         let mut best = None;
-        self.compare(board, local, &mut best, typical, now);
-        self.compare(board, remote, &mut best, typical, now);
+        self.compare(board, local, &mut best, now);
+        self.compare(board, remote, &mut best, now);
         best.map_or(eligible[0], |(_, index)| index)
     }
 
-    fn avoids_stragglers(&self) -> bool {
+    fn uses_feedback(&self) -> bool {
         true
     }
 }
 
-/// Expected time of one more request on a target, in seconds.
-fn cost(target: &Target, slots: u32, typical: f64, now: Instant) -> f64 {
-    let in_flight = target.estimate(typical, now);
-    let limit = target.limit(slots);
-    let fill = (in_flight + 1.0) / limit;
-    // Beyond the limit a request waits for others; below it, fuller targets are slightly slower.
-    let stretch = if fill <= 1.0 {
-        1.0 + fill * fill
+/// Expected time of one more request on a target beyond its usual service time, in seconds.
+fn cost(target: &Target, board: &Board, now: Instant) -> f64 {
+    let usual = board.summary.usual_latency();
+    let distance = if target.is_local { 0.0 } else { REMOTE_SECONDS };
+    distance + usual * (wait(target, board, now) + slowness(target, usual, now, board))
+}
+
+/// Expected wait for a slot, in usual service times.
+///
+/// With many slots hardly anyone waits before a target is nearly full, which the fourth power
+/// follows; beyond that, each request that is ahead takes one service time of one slot.
+fn wait(target: &Target, board: &Board, now: Instant) -> f64 {
+    let limit = target.limit(board.slots);
+    let fill = target.estimate(&board.summary, now) / limit;
+    if fill < 1.0 {
+        FULL_WAIT * fill.powi(4)
     } else {
-        2.0 + 4.0 * (fill - 1.0)
-    };
+        FULL_WAIT + (fill - 1.0) + 1.0 / limit
+    }
+}
+
+/// Extra service time of a target that is slower than its siblings, in usual service times.
+///
+/// Service times differ from request to request, so only a clear difference counts.
+fn slowness(target: &Target, usual: f64, now: Instant, board: &Board) -> f64 {
     let reported = f64::from(target.load.latency_us) / 1e6;
-    let latency = if reported > 0.0 {
-        let confidence = target.confidence(now);
-        confidence * reported + (1.0 - confidence) * target.latency
-    } else {
-        target.latency
-    };
-    let distance = if target.is_local { 0.0 } else { REMOTE_SECONDS };
-    latency * stretch + distance
+    let confidence = target.confidence(board.summary.half_life, now);
+    let latency = confidence * reported + (1.0 - confidence) * target.latency;
+    (latency / usual / CLEARLY_SLOWER - 1.0).clamp(0.0, MOST_SLOWNESS)
 }
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -14,6 +14,9 @@
 /// Refusals after which a call gives up; by then about every sibling was asked.
 pub const MAX_REFUSALS: u8 = 4;
 
+/// Refusals after which a request waits at a full target: two picks found no slot.
+const REFUSALS_BEFORE_WAITING: u8 = 2;
+
 /// Retries a second that a service may always make, however few calls it has.
 const FLOOR_PER_SECOND: f64 = 3.0;
 
@@ -116,6 +119,11 @@
         }
     }
 
+    /// Whether the next attempt may wait for a slot.
+    pub fn may_wait(&self) -> bool {
+        self.refusals >= REFUSALS_BEFORE_WAITING
+    }
+
     /// Whether to try again after an attempt that ended with `outcome`.
     pub fn again(&mut self, outcome: Outcome, budget: &mut Budget, now: Instant) -> bool {
         if now >= self.deadline {
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -34,6 +34,15 @@
 /// Picks that are drawn to estimate each target's share.
 const SHARE_DRAWS: u32 = 1000;
 
+/// Where a request goes next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The target's instance.
+    pub id: InstanceId,
+    /// Whether the request may wait there.
+    pub may_wait: bool,
+}
+
 /// What a router thinks of one target, for people.
 #[derive(Clone, Debug)]
 pub struct Prospect {
@@ -119,7 +128,16 @@
     }
 
     /// Picks a target that is not in `tried` and notes the attempt.
-    pub fn pick(&mut self, call: CallId, tried: &[InstanceId], now: Instant) -> Option<InstanceId> {
+    ///
+    /// With `may_wait` unset, the target is asked to refuse when it cannot run the request at
+    /// once; the pick decides otherwise where even the best target is known to be full.
+    pub fn pick(
+        &mut self,
+        call: CallId,
+        tried: &[InstanceId],
+        may_wait: bool,
+        now: Instant,
+    ) -> Option<Pick> {
         if self.board.review(now) {
             straggler::review(&mut self.board, now);
         }
@@ -129,7 +147,12 @@
         }
         let index = self.policy.pick(&self.board, &self.eligible, now);
         self.board.start(index, call, now);
-        Some(self.board.targets[index].id.clone())
+        let target = &self.board.targets[index];
+        let waits = !self.policy.uses_feedback() || target.is_full(&self.board.summary, now);
+        Some(Pick {
+            id: target.id.clone(),
+            may_wait: may_wait || waits || self.eligible.len() == 1,
+        })
     }
 
     /// Notes how an attempt ended.
@@ -225,7 +248,7 @@
     /// Collects the positions that may be picked; stragglers only when nothing else is left.
     fn find_eligible(&mut self, tried: &[InstanceId], now: Instant) {
         self.eligible.clear();
-        let avoids = self.policy.avoids_stragglers();
+        let avoids = self.policy.uses_feedback();
         let targets = &self.board.targets;
         let is_open = |target: &Target| target.takes_work(now) && !tried.contains(&target.id);
         for (index, target) in targets.iter().enumerate() {
--- a/crates/basilbay_routing/tests/pick.rs
+++ b/crates/basilbay_routing/tests/pick.rs
@@ -26,7 +26,10 @@
 fn spread(router: &mut Router, targets: usize, count: u64, now: Instant) -> Vec<usize> {
     let mut counts = vec![0; targets];
     for call in 0..count {
-        let picked = router.pick(call, &[], now).expect("a target is open");
+        let picked = router
+            .pick(call, &[], true, now)
+            .expect("a target is open")
+            .id;
         let index = router.board.position(&picked).expect("it is on the board");
         counts[index] += 1;
         router.end(&picked, call, Ending::Refused, now);
@@ -123,11 +126,11 @@
 fn silent_targets_rest() {
     let start = Instant::now();
     let mut router = router(6, 1, start);
-    let stuck = router.pick(1, &[], start).unwrap();
+    let stuck = router.pick(1, &[], true, start).unwrap().id;
     let later = start + Duration::from_millis(60);
     let mut counts = 0;
     for call in 2..200 {
-        let picked = router.pick(call, &[], later).unwrap();
+        let picked = router.pick(call, &[], true, later).unwrap().id;
         counts += usize::from(picked == stuck);
         router.end(&picked, call, Ending::Refused, later);
     }
@@ -140,10 +143,10 @@
     let start = Instant::now();
     let mut router = router(6, 1, start);
     for call in 0..60 {
-        router.pick(call, &[], start);
+        router.pick(call, &[], true, start);
     }
     let later = start + Duration::from_secs(1);
-    router.pick(100, &[], later);
+    router.pick(100, &[], true, later);
     let ejected = router.board.targets.iter();
     let ejected = ejected.filter(|target| target.ejection.is_active()).count();
     assert_eq!(ejected, 3);
@@ -175,10 +178,10 @@
                 4 => router.end(&id(index), call / 2, Ending::Failed, now),
                 _ => router.end(&id(index), call / 2, Ending::Answered, now),
             }
-            if let Some(picked) = router.pick(call, &tried, now) {
-                let position = router.board.position(&picked).unwrap();
+            if let Some(picked) = router.pick(call, &tried, false, now) {
+                let position = router.board.position(&picked.id).unwrap();
                 prop_assert!(router.board.targets[position].takes_work(now));
-                prop_assert!(!tried.contains(&picked));
+                prop_assert!(!tried.contains(&picked.id));
                 let eligible = [position];
                 prop_assert_eq!(policy.pick(&router.board, &eligible, now), position);
             } else {
--- a/crates/basilbay_wire/src/hop.rs
+++ b/crates/basilbay_wire/src/hop.rs
@@ -14,6 +14,10 @@
     Home,
 }
 
+fn waits() -> bool {
+    true
+}
+
 /// Context of a forwarded request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hop {
@@ -37,6 +41,10 @@
     pub origin: InstanceId,
     /// The configuration version that the sender has in force.
     pub config_version: Version,
+    /// Whether the request may wait at the target; otherwise it is refused when it cannot run at
+    /// once.
+    #[serde(default = "waits")]
+    pub may_wait: bool,
     /// What the receiver is asked to do.
     #[serde(default)]
     pub role: Role,
