--- /dev/null
+++ b/crates/basilbay_keys/src/key.rs
@@ -0,0 +1,143 @@
+//! Idempotency keys and their issue times.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use basilbay_model::roster::Stamp;
+use basilbay_wire::header::MAX_KEY_BYTES;
+use uuid::{Uuid, Variant, Version};
+
+use crate::digest;
+
+/// Largest difference between any clock and the list's clock that the rules allow for.
+pub const CLOCK_SKEW: Duration = Duration::from_millis(500);
+
+/// Result of reading a key.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a text is not a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// It has no characters.
+    Empty,
+    /// It has more than 128 characters.
+    TooLong(usize),
+    /// It has a character that is not visible ASCII, at this byte.
+    NotVisible(usize),
+    /// It was issued this many milliseconds after the present.
+    Future(u64),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => write!(out, "the idempotency key is empty"),
+            Self::TooLong(size) => {
+                write!(
+                    out,
+                    "the idempotency key has {size} bytes, at most {MAX_KEY_BYTES}"
+                )
+            }
+            Self::NotVisible(at) => {
+                write!(out, "byte {at} of the idempotency key is not visible ASCII")
+            }
+            Self::Future(ahead) => {
+                write!(
+                    out,
+                    "the idempotency key is issued {ahead} ms in the future"
+                )
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// When a key was issued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Issue {
+    /// At this time by its caller's clock (`UUIDv7`).
+    At(Stamp),
+    /// At an unknown time within the retention.
+    Opaque,
+}
+
+/// An idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Key {
+    /// Text as the caller sent it; two spellings of one UUID are two keys.
+    pub text: Arc<str>,
+    /// When it was issued.
+    pub issued: Issue,
+    digest: u128,
+}
+
+impl Key {
+    /// Reads a key at a local wall-clock time.
+    pub fn parse(text: &str, wall: SystemTime) -> Result<Self> {
+        check(text)?;
+        let issued = issue(text);
+        if let Issue::At(at) = issued {
+            check_future(at, stamp(wall))?;
+        }
+        Ok(Self {
+            text: Arc::from(text),
+            issued,
+            digest: digest::wide(&[text.as_bytes()]),
+        })
+    }
+
+    /// First 16 bytes of SHA-256 of the text, by which daemons remember the key.
+    pub fn digest(&self) -> u128 {
+        self.digest
+    }
+
+    /// Half of the digest, for rendezvous hashing.
+    pub(crate) fn hash(&self) -> u64 {
+        self.digest as u64
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn stamp(wall: SystemTime) -> Stamp {
+    wall.duration_since(UNIX_EPOCH).map_or(0, millis)
+}
+
+/// Whole milliseconds of a duration.
+pub(crate) fn millis(from: Duration) -> u64 {
+    u64::try_from(from.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn check(text: &str) -> Result<()> {
+    if text.is_empty() {
+        return Err(Error::Empty);
+    }
+    if text.len() > MAX_KEY_BYTES {
+        return Err(Error::TooLong(text.len()));
+    }
+    match text.bytes().position(|byte| !byte.is_ascii_graphic()) {
+        Some(at) => Err(Error::NotVisible(at)),
+        None => Ok(()),
+    }
+}
+
+fn check_future(at: Stamp, wall: Stamp) -> Result<()> {
+    let ahead = at.saturating_sub(wall);
+    if ahead > millis(CLOCK_SKEW) {
+        return Err(Error::Future(ahead));
+    }
+    Ok(())
+}
+
+fn issue(text: &str) -> Issue {
+    let Ok(uuid) = Uuid::try_parse(text) else {
+        return Issue::Opaque;
+    };
+    let is_v7 = uuid.get_version() == Some(Version::SortRand);
+    if !is_v7 || uuid.get_variant() != Variant::RFC4122 {
+        return Issue::Opaque;
+    }
+    // The first 48 bits of a UUIDv7 are milliseconds since the Unix epoch.
+    Issue::At((uuid.as_u128() >> 80) as u64)
+}
--- /dev/null
+++ b/crates/basilbay_keys/tests/support/roster.rs
@@ -0,0 +1,50 @@
+//! Rosters and keys for tests.
+
+use std::sync::Arc;
+use std::time::{Duration, UNIX_EPOCH};
+
+use basilbay_keys::key::Key;
+use basilbay_model::roster::{Instance, Roster, Stamp, State};
+
+pub(crate) const SERVICE: &str = "paydesk";
+pub(crate) const RETENTION: Duration = Duration::from_secs(20);
+
+pub(crate) fn instance(id: &str, listed: Stamp) -> Instance {
+    let address = ([127, 0, 0, 1], 1).into();
+    Instance {
+        id: Arc::from(id),
+        service: Arc::from(SERVICE),
+        domain: Arc::from("tt-north-1"),
+        region: Arc::from("tt"),
+        peer: address,
+        admin: address,
+        listen: address,
+        state: State::Live,
+        listed_at_ms: listed,
+        leaving_at_ms: None,
+    }
+}
+
+pub(crate) fn roster(version: u64, as_of: Stamp, instances: &[Instance]) -> Roster {
+    let mut roster = Roster {
+        version,
+        as_of_ms: as_of,
+        instances: instances.to_vec(),
+    };
+    roster.sort();
+    roster
+}
+
+/// A `UUIDv7` that is issued at a time, or an opaque key.
+pub(crate) fn key(issued: Option<Stamp>, number: u64) -> Key {
+    let text = match issued {
+        Some(at) => format!(
+            "{:08x}-{:04x}-7000-8000-{number:012x}",
+            at >> 16,
+            at & 0xffff
+        ),
+        None => format!("order-{number}"),
+    };
+    let wall = UNIX_EPOCH + Duration::from_millis(issued.unwrap_or(0));
+    Key::parse(&text, wall).expect("a valid key")
+}
