--- a/crates/basilbay_keys/tests/support/world.rs
+++ b/crates/basilbay_keys/tests/support/world.rs
@@ -29,12 +29,8 @@
     ObserveAll(u64),
     Restart(usize, u64),
     Issue(bool, i64),
-    Send {
-        key: usize,
-        daemons: u8,
-        first: usize,
-        end: u8,
-    },
+    /// The key counted from the newest, a set of daemons, the first of them, and how a run ends.
+    Send(usize, u8, usize, u8),
 }
 
 pub(crate) fn step() -> impl Strategy<Value = Step> {
@@ -53,7 +49,7 @@
         2 => (pick(), 0..20_000u64).prop_map(|(at, lag)| Step::Restart(at, lag)),
         4 => (any::<bool>(), skew()).prop_map(|(opaque, skew)| Step::Issue(opaque, skew)),
         12 => (0..4usize, any::<u8>(), pick(), 0..8u8)
-            .prop_map(|(key, daemons, first, end)| Step::Send { key, daemons, first, end }),
+            .prop_map(|(key, daemons, first, end)| Step::Send(key, daemons, first, end)),
     ]
 }
 
@@ -121,12 +117,7 @@
             Step::ObserveAll(lag) => self.observe_all(lag),
             Step::Restart(at, lag) => self.restart(at % self.daemons.len(), lag),
             Step::Issue(opaque, skew) => self.issue(opaque, skew),
-            Step::Send {
-                key,
-                daemons,
-                first,
-                end,
-            } => return self.send(key, daemons, first, end),
+            Step::Send(key, daemons, first, end) => return self.send(key, daemons, first, end),
         }
         Ok(())
     }
