Measure added latency over chains of distinct services

A chain within one service needed several slots of each target at once, and a daemon on its ramp refused the rest of the chain. Each link now has a service of its own.

--- a/crates/basilbay_keys/src/home.rs
+++ b/crates/basilbay_keys/src/home.rs
@@ -14,11 +14,14 @@
 
 use crate::digest;
 use crate::history::{History, Record};
-use crate::key::{CLOCK_SKEW, Issue, Key, millis};
+use crate::key::{Issue, Key, millis};
+
+pub use crate::key::CLOCK_SKEW;
 
 /// Time from a change of the roster until it changes ownership.
 ///
-/// Everyone who decides with a view that is younger than `VIEW_REACH` has then seen the change.
+/// Everyone whose view reaches that far has then seen the change. It is `VIEW_REACH` and one
+/// `CLOCK_SKEW`, by which a restarted daemon may date its start too early.
 pub const HOME_GRACE: Duration = Duration::from_secs(4);
 
 /// Age up to which a daemon's roster permits first runs.
@@ -175,7 +178,7 @@
     if !knows(history, span) || !listed_throughout(history, me, span) {
         return Permission::Uncovered;
     }
-    if !is_fresh(history, key, wall) {
+    if !is_fresh(history, wall) {
         return Permission::Stale;
     }
     Permission::Granted
@@ -231,13 +234,7 @@
         })
 }
 
-/// Whether the view is within its lease, and the key not ahead of the clocks: a daemon that
-/// restarts must find all keys of its previous run before its start plus the grace.
-fn is_fresh(history: &History, key: &Key, wall: Stamp) -> bool {
-    let leased = history.newest().unwrap_or(0) + millis(VIEW_LEASE) > wall;
-    let ahead = match key.issued {
-        Issue::At(at) => at.saturating_sub(wall),
-        Issue::Opaque => 0,
-    };
-    leased && ahead <= millis(2 * CLOCK_SKEW)
+/// Whether the view is within its lease.
+fn is_fresh(history: &History, wall: Stamp) -> bool {
+    history.newest().unwrap_or(0) + millis(VIEW_LEASE) > wall
 }
--- a/crates/basilbay_load/src/latency/cost.rs
+++ b/crates/basilbay_load/src/latency/cost.rs
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use serde::{Deserialize, Serialize};
 
-use super::{Result, call};
+use super::{Result, call, service};
 use crate::client::door::Door;
 use crate::fleet::Fleet;
 use crate::table;
@@ -90,7 +90,7 @@
     let mut calls = 0;
     while Instant::now() < until {
         ticks.tick().await;
-        call(door, "").await?;
+        call(door, &service(0), "").await?;
         calls += 1;
     }
     Ok(calls)
@@ -105,7 +105,7 @@
         tasks.push(tokio::spawn(async move {
             while !stop.load(Ordering::Relaxed) {
                 // Refusals at the limit are not calls that the daemon carried.
-                if call(&door, "").await.is_ok() {
+                if call(&door, &service(0), "").await.is_ok() {
                     calls.fetch_add(1, Ordering::Relaxed);
                 }
             }
--- a/crates/basilbay_load/src/latency/straight.rs
+++ b/crates/basilbay_load/src/latency/straight.rs
@@ -18,10 +18,10 @@
 }
 
 impl Line {
-    pub(super) fn start(count: usize, service: &str) -> Result<Self> {
+    pub(super) fn start(count: usize) -> Result<Self> {
         let addresses = port::free(count)?;
         let targets = addresses.iter().enumerate().map(|(index, address)| {
-            let mut target = Target::new(&format!("straight-{index}"), service, 0);
+            let mut target = Target::new(&format!("straight-{index:02}"), "straight", 0);
             target.listen = *address;
             target.connections = 1000;
             target.cold = Cold {
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -8,7 +8,7 @@
 use basilbay_model::id::{DomainId, InstanceId, ServiceId};
 use basilbay_model::roster::{Roster, State as Listed};
 use basilbay_model::service::Policy as Name;
-use basilbay_wire::load::Load;
+use basilbay_wire::load::{Load, State};
 
 use crate::board::{Board, CallId, Target};
 use crate::policy::{self, Policy};
@@ -28,9 +28,21 @@
     Abandoned,
 }
 
+/// Time for which a service time that a sibling reported is taken as usual.
+const WARM_TERM: Duration = Duration::from_secs(10);
+
 /// Picks that are drawn to estimate each target's share.
 const SHARE_DRAWS: u32 = 1000;
 
+/// Where a request goes next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// The target's instance.
+    pub id: InstanceId,
+    /// Whether the request may wait there.
+    pub may_wait: bool,
+}
+
 /// What a router thinks of one target, for people.
 #[derive(Clone, Debug)]
 pub struct Prospect {
@@ -116,7 +128,16 @@
     }
 
     /// Picks a target that is not in `tried` and notes the attempt.
-    pub fn pick(&mut self, call: CallId, tried: &[InstanceId], now: Instant) -> Option<InstanceId> {
+    ///
+    /// With `may_wait` unset, the target is asked to refuse when it cannot run the request at
+    /// once; the pick decides otherwise where even the best target is known to be full.
+    pub fn pick(
+        &mut self,
+        call: CallId,
+        tried: &[InstanceId],
+        may_wait: bool,
+        now: Instant,
+    ) -> Option<Pick> {
         if self.board.review(now) {
             straggler::review(&mut self.board, now);
         }
@@ -126,7 +147,12 @@
         }
         let index = self.policy.pick(&self.board, &self.eligible, now);
         self.board.start(index, call, now);
-        Some(self.board.targets[index].id.clone())
+        let target = &self.board.targets[index];
+        let waits = !self.policy.uses_feedback() || target.is_full(&self.board.summary, now);
+        Some(Pick {
+            id: target.id.clone(),
+            may_wait: may_wait || waits || self.eligible.len() == 1,
+        })
     }
 
     /// Notes how an attempt ended.
@@ -191,6 +217,22 @@
         self.board.hear(id, load, now);
     }
 
+    /// Median service time that warm targets other than `own` reported lately.
+    pub fn warm_latency(&self, own: &str, now: Instant) -> Option<Duration> {
+        let mut latencies: Vec<u32> = self
+            .board
+            .targets
+            .iter()
+            .filter(|target| &*target.id != own && target.load.state == State::Warm)
+            .filter(|target| target.heard_within(WARM_TERM, now))
+            .map(|target| target.load.latency_us)
+            .filter(|latency| *latency > 0)
+            .collect();
+        latencies.sort_unstable();
+        let median = latencies.get(latencies.len() / 2)?;
+        Some(Duration::from_micros(u64::from(*median)))
+    }
+
     /// Starts to count the attempts of a call.
     pub fn attempts(&mut self, idempotent: bool, deadline: Instant, allowance: u8) -> Attempts {
         self.budget.deposit();
@@ -206,7 +248,7 @@
     /// Collects the positions that may be picked; stragglers only when nothing else is left.
     fn find_eligible(&mut self, tried: &[InstanceId], now: Instant) {
         self.eligible.clear();
-        let avoids = self.policy.avoids_stragglers();
+        let avoids = self.policy.uses_feedback();
         let targets = &self.board.targets;
         let is_open = |target: &Target| target.takes_work(now) && !tried.contains(&target.id);
         for (index, target) in targets.iter().enumerate() {
