--- a/crates/basilbay_load/src/account.rs
+++ b/crates/basilbay_load/src/account.rs
@@ -200,6 +200,25 @@
     }
 }
 
+/// What a caller was told, and each run of an attempt with its times from the planned one.
+fn story(evidence: &Evidence<'_>, stream: &Stream, record: &Record, id: &str) -> String {
+    let mut text = format!(
+        "{} {} after {} us",
+        stream.kind,
+        name(record),
+        record.took_us
+    );
+    for run in evidence.runs.iter().filter(|run| &*run.request == id) {
+        let start = run.start_us.saturating_sub(record.due_us);
+        let end = run.end_us.saturating_sub(record.due_us);
+        text.push_str(&format!(
+            "; {} {:?} {start}-{end} us",
+            run.target, run.outcome
+        ));
+    }
+    text
+}
+
 /// The request id without the number of the attempt and the rest of a call chain.
 fn origin(id: &str) -> &str {
     id.split(['~', '/']).next().unwrap_or(id)
@@ -225,7 +244,9 @@
         }
         for attempt in &record.attempts {
             if matches!(attempt.told, Told::NotRun(_)) && ran(&attempt.id) > 0 {
-                breaches.told_not_run.add(|| attempt.id.to_string());
+                breaches
+                    .told_not_run
+                    .add(|| story(evidence, stream, record, &attempt.id));
             }
         }
         if matches!(record.told(), Told::Unreachable) && total > 0 {
--- a/crates/basilbay_load/src/latency.rs
+++ b/crates/basilbay_load/src/latency.rs
@@ -145,7 +145,7 @@
 /// Measures added latency for some seconds a depth, and the cost of a daemon if asked for.
 pub async fn run(seconds: f64, depths: &[usize], with_cost: bool) -> Result<Report> {
     let mut fleet = Fleet::start(deployment()?).await?;
-    let line = straight::Line::start(SERVICES)?;
+    let line = straight::Line::start(SERVICES, fleet.deployment.open_delay)?;
     warm_up(&fleet).await?;
     let mut pairs = Vec::new();
     for depth in depths {
--- a/crates/basilbay_load/src/latency/straight.rs
+++ b/crates/basilbay_load/src/latency/straight.rs
@@ -1,6 +1,7 @@
 //! Targets that call each other without daemons between, to measure against.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::Context;
 use basilbay_fakes::targets::spec::{Cold, Target};
@@ -18,12 +19,13 @@
 }
 
 impl Line {
-    pub(super) fn start(count: usize) -> Result<Self> {
+    pub(super) fn start(count: usize, open_delay: Duration) -> Result<Self> {
         let addresses = port::free(count)?;
         let targets = addresses.iter().enumerate().map(|(index, address)| {
             let mut target = Target::new(&format!("straight-{index:02}"), "straight", 0);
             target.listen = *address;
             target.connections = 1000;
+            target.open_delay_us = open_delay.as_micros() as u64;
             target.cold = Cold {
                 warm_after: 0,
                 ..Cold::default()
--- a/crates/basilbay_load/tests/account.rs
+++ b/crates/basilbay_load/tests/account.rs
@@ -24,7 +24,7 @@
 impl Case {
     fn new() -> Self {
         Self {
-            streams: Stream::of(&Deployment::named("caroni").unwrap(), 0.5, 0.0),
+            streams: Stream::of(&Deployment::named("caroni").expect("works"), 0.5, 0.0),
             records: Vec::new(),
             runs: Vec::new(),
             violations: Vec::new(),
@@ -36,7 +36,7 @@
         let mut streams = self.streams.iter();
         streams
             .position(|stream| &*stream.kind == "booking")
-            .unwrap()
+            .expect("works")
     }
 
     fn told(&mut self, stream: usize, told: &[Told]) -> &mut Record {
@@ -59,7 +59,7 @@
             is_whole: true,
             is_replayed: false,
         });
-        self.records.last_mut().unwrap()
+        self.records.last_mut().expect("works")
     }
 
     fn run(&mut self, request: &str, start_us: u64) -> &mut Run {
@@ -74,7 +74,7 @@
             in_flight_at_start: 1,
             cold: false,
         });
-        self.runs.last_mut().unwrap()
+        self.runs.last_mut().expect("works")
     }
 
     fn event(&mut self, at_us: u64, fact: Fact) {
