--- a/crates/basilbay_load/src/deployment.rs
+++ b/crates/basilbay_load/src/deployment.rs
@@ -86,6 +86,8 @@
     pub open_delay: Duration,
     /// Whether targets start cold.
     pub starts_cold: bool,
+    /// Whether daemons reach each other through a fault-injecting proxy.
+    pub proxied: bool,
 }
 
 impl Deployment {
@@ -133,6 +135,7 @@
             probe_cost: Duration::from_millis(6),
             open_delay: Duration::from_millis(1),
             starts_cold: false,
+            proxied: false,
         })
     }
 
--- a/crates/basilbay_load/src/fleet.rs
+++ b/crates/basilbay_load/src/fleet.rs
@@ -16,6 +16,7 @@
 use basilbay_fakes::client::{request, send};
 use basilbay_fakes::clock;
 use basilbay_fakes::platform::fault::Faults;
+use basilbay_fakes::proxy;
 use basilbay_fakes::targets::account::{Run, Violation};
 use basilbay_fakes::targets::fault::Change;
 use basilbay_model::config::Config;
@@ -59,6 +60,8 @@
     pub admin: SocketAddr,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Address for daemons as the instance list states it; goes through the proxy if there is one.
+    pub route: SocketAddr,
     process: Option<Process>,
     starts: u32,
 }
@@ -79,6 +82,8 @@
     text: String,
     version: Version,
     daemon: PathBuf,
+    /// Control address of the proxy.
+    proxy: Option<SocketAddr>,
     started: Instant,
     /// Ended before the folder with their settings goes.
     servers: Vec<Process>,
@@ -279,6 +284,19 @@
         Ok(())
     }
 
+    /// Sets the faults of the network path to a daemon from all other daemons.
+    pub async fn path_faults(&mut self, index: usize, faults: proxy::fault::Faults) -> Result<()> {
+        let control = self.proxy.context("the deployment has no proxy")?;
+        let order = proxy::fault::Order {
+            route: Some(self.members[index].target.to_string()),
+            faults: Some(faults),
+            cut: false,
+        };
+        self.put(control, "/fake/proxy", serde_json::to_vec(&order)?)
+            .await?;
+        Ok(())
+    }
+
     /// Marks an instance as leaving in the instance list.
     pub async fn list_leaving(&mut self, index: usize) -> Result<()> {
         let id = self.members[index].id.clone();
--- a/crates/basilbay_load/src/fleet/start.rs
+++ b/crates/basilbay_load/src/fleet/start.rs
@@ -8,6 +8,7 @@
 use anyhow::Context;
 use basilbay_fakes::client::{request, send};
 use basilbay_fakes::platform::list::Entry;
+use basilbay_fakes::proxy::{Protocol, Route};
 use basilbay_fakes::targets::spec::{Cold, Kind, Target};
 use basilbay_model::roster::State;
 use hyper::Method;
@@ -19,6 +20,9 @@
 /// Age of the first entries of the instance list, so that keys have homes from the start.
 const LISTED_AGO: Duration = Duration::from_secs(60);
 
+/// Ports of a member: callers, daemons, operators, and the route through the proxy.
+const PORTS: usize = 4;
+
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 pub(super) fn fleet(deployment: Deployment) -> Result<Fleet> {
@@ -28,7 +32,19 @@
     let mut members = plan(&deployment)?;
     let fakes = beside("basilbay-fakes")?;
     let targets = start_targets(&fakes, folder.path(), &deployment, &mut members)?;
+    let mut servers = vec![targets.0];
+    let mut proxy = None;
+    if deployment.proxied {
+        let (process, control) = start_proxy(&fakes, folder.path(), &members)?;
+        servers.push(process);
+        proxy = Some(control);
+    } else {
+        for member in &mut members {
+            member.route = member.peers;
+        }
+    }
     let platform = start_platform(&fakes, folder.path(), &deployment, &members)?;
+    servers.push(platform.0);
     let mut fleet = Fleet {
         text: deployment.text.to_string(),
         version: deployment.config.version,
@@ -39,7 +55,8 @@
         events: Vec::new(),
         daemon: beside("basilbayd")?,
         started: Instant::now(),
-        servers: vec![targets.0, platform.0],
+        servers,
+        proxy,
         folder,
     };
     for index in 0..fleet.members.len() {
@@ -50,7 +67,7 @@
 
 fn plan(deployment: &Deployment) -> Result<Vec<Member>> {
     let workers: usize = deployment.staff.iter().map(|staff| staff.workers).sum();
-    let mut ports = port::free(3 * workers)?.into_iter();
+    let mut ports = port::free(PORTS * workers)?.into_iter();
     let mut next = || ports.next().context("too few ports");
     let domains = deployment.domains();
     let mut members = Vec::new();
@@ -66,6 +83,7 @@
                 callers: next()?,
                 peers: next()?,
                 admin: next()?,
+                route: next()?,
                 address: ANY,
                 process: None,
                 starts: 0,
@@ -139,13 +157,30 @@
     Ok((process, control.context("no control address")?))
 }
 
+fn start_proxy(fakes: &Path, folder: &Path, members: &[Member]) -> Result<(Process, SocketAddr)> {
+    let routes = members.iter().map(|member| Route {
+        name: member.target.clone(),
+        listen: member.route,
+        to: member.peers,
+        protocol: Protocol::Both,
+    });
+    let routes: Vec<Route> = routes.collect();
+    let file = folder.join("routes.json");
+    std::fs::write(&file, serde_json::to_vec_pretty(&routes)?)?;
+    let arguments = ["proxy", "--routes", &file.display().to_string()];
+    let mut process = Process::start(fakes, &arguments, &folder.join("proxy.log"))?;
+    let lines = process.lines(1 + members.len())?;
+    let control = lines.first().and_then(|line| line.strip_prefix("control "));
+    Ok((process, control.context("no control address")?.parse()?))
+}
+
 fn entries(members: &[Member]) -> Vec<Entry> {
     let entries = members.iter().map(|member| Entry {
         id: member.id.clone(),
         service: member.service.clone(),
         domain: member.domain.clone(),
         region: Arc::from(""),
-        peer: member.peers,
+        peer: member.route,
         admin: member.admin,
         listen: member.callers,
         state: State::Live,
--- a/crates/basilbay_load/src/scenario.rs
+++ b/crates/basilbay_load/src/scenario.rs
@@ -77,6 +77,9 @@
     /// Whether all targets start cold.
     #[serde(default)]
     pub cold: bool,
+    /// Whether daemons reach each other through a fault-injecting proxy.
+    #[serde(default)]
+    pub proxied: bool,
     /// Length of the load.
     pub seconds: f64,
     /// Part of the capacity.
@@ -133,6 +136,7 @@
             deployment = deployment.with_policy(policy)?;
         }
         deployment.starts_cold = self.cold;
+        deployment.proxied = self.proxied;
         Ok(deployment)
     }
 
--- a/crates/basilbay_load/src/scenario/act.rs
+++ b/crates/basilbay_load/src/scenario/act.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use basilbay_fakes::platform::fault::Faults;
+use basilbay_fakes::proxy;
 use basilbay_fakes::targets::fault::Change;
 use basilbay_model::id::DomainId;
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,8 @@
     Pause(usize),
     /// Resumes a daemon (SIGCONT).
     Resume(usize),
+    /// Sets the faults of the network path to a daemon from all other daemons.
+    Path(usize, proxy::fault::Faults),
 }
 
 /// Does everything at its time.
@@ -88,6 +91,7 @@
         Act::Restart(index) => fleet.restart(*index).await?,
         Act::Pause(index) => fleet.pause(*index),
         Act::Resume(index) => fleet.resume(*index),
+        Act::Path(index, faults) => fleet.path_faults(*index, *faults).await?,
     }
     Ok(())
 }
@@ -95,6 +99,7 @@
 fn member(act: &Act) -> Option<usize> {
     match act {
         Act::Target(index, _)
+        | Act::Path(index, _)
         | Act::Leave(index)
         | Act::Terminate(index)
         | Act::Kill(index)
