--- a/crates/basilbay_membership/src/node/drive.rs
+++ b/crates/basilbay_membership/src/node/drive.rs
@@ -167,14 +167,17 @@
 
     /// Whether a daemon that is not a reader watches the configuration.
     fn must_watch(&self, now: Instant) -> bool {
+        let asked_at = self.platform.config_asked_at;
+        let rested = asked_at.is_none_or(|asked| now >= asked + DIRECT_GAP);
         let owed = self.platform.config_owed;
-        owed || self.must_read(CONFIG_LATER, now) || self.config_is_missing(now)
+        rested && (owed || self.must_read(CONFIG_LATER, now) || self.config_is_missing(now))
     }
 
     fn watch_config(&mut self, now: Instant) {
         let (flight, from) = self.flight(Source::Platform, now + WATCH_WAIT + PLATFORM_TIMEOUT);
         self.platform.config.flight = Some(flight);
         self.platform.config_owed = false;
+        self.platform.config_asked_at = Some(now);
         let after = self.configuration.seen();
         self.emit_action(Action::WatchConfig { from, after });
     }
--- a/crates/basilbay_membership/src/reader.rs
+++ b/crates/basilbay_membership/src/reader.rs
@@ -37,7 +37,8 @@
 /// Spread of the reads that daemons begin by themselves.
 pub const JITTER: Duration = Duration::from_secs(1);
 
-/// Time between two reads of the roster by a daemon that is not a reader, plus jitter; together
+/// Least time between two reads of one part by a daemon that is not a reader: 630 daemons that hear
+/// only the platform then make at most 1,260 reads in any second. For the roster plus jitter; together
 /// below [`crate::standing::ISOLATION`], so that a daemon which hears only the platform serves on.
 pub const DIRECT_GAP: Duration = Duration::from_millis(1500);
 
--- a/crates/basilbay_membership/tests/gossip.rs
+++ b/crates/basilbay_membership/tests/gossip.rs
@@ -73,6 +73,22 @@
     assert_eq!(config_pulls(node.actions()), []);
 }
 
+// Guards against silence towards a peer that still announces an older version.
+#[test]
+fn behind_told() {
+    let start = Instant::now();
+    let mut node = Node::new(identity(instance(0, 0, 3)), 1, start);
+    let platform = Origin {
+        source: Source::Platform,
+        ticket: 0,
+    };
+    node.config_text(&text(2, ""), &platform, start);
+    node.actions();
+    hear(&mut node, 1, 1, start + Duration::from_millis(300));
+    let told = |action: &Action| matches!(action, Action::Send { to, .. } if *to == address(1));
+    assert!(node.actions().iter().any(told));
+}
+
 // Guards against a peer that announces what it does not have and is then asked without end.
 #[test]
 fn false_claim() {
--- a/crates/basilbay_membership/tests/reader.rs
+++ b/crates/basilbay_membership/tests/reader.rs
@@ -3,9 +3,13 @@
 #[path = "support/harness.rs"]
 mod harness;
 
+use std::time::{Duration, Instant};
+
+use basilbay_membership::action::{Action, Origin, Source};
+use basilbay_membership::node::Node;
 use basilbay_membership::reader::{READERS, readers};
 use harness::Fleet;
-use harness::sample::{roster, text};
+use harness::sample::{identity, instance, roster, text};
 use proptest::prelude::*;
 
 proptest! {
@@ -67,3 +71,29 @@
     assert!(fleet.all_at(5));
     assert!(fleet.all_serve());
 }
+
+// Guards against a stream of watches at a service that answers each with an older version.
+#[test]
+fn stale_delayed() {
+    let now = Instant::now();
+    let mut node = Node::new(identity(instance(0, 0, 1)), 1, now);
+    let platform = Origin {
+        source: Source::Platform,
+        ticket: 0,
+    };
+    node.roster(roster(1, &[0], 1), &platform, now);
+    node.config_text(&text(5, ""), &platform, now);
+    let watches = |node: &mut Node, at: u64| {
+        node.tick(now + Duration::from_millis(at));
+        let watch = |action: &Action| matches!(action, Action::WatchConfig { .. });
+        node.actions().iter().filter(|action| watch(action)).count()
+    };
+    assert_eq!(watches(&mut node, 0), 1);
+    let watch = Origin {
+        source: Source::Platform,
+        ticket: 2,
+    };
+    node.config_text(&text(4, ""), &watch, now);
+    assert_eq!(watches(&mut node, 50), 0);
+    assert_eq!(watches(&mut node, 300), 1);
+}
--- a/crates/basilbay_membership/tests/startup.rs
+++ b/crates/basilbay_membership/tests/startup.rs
@@ -3,15 +3,17 @@
 #[path = "support/harness.rs"]
 mod harness;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use basilbay_events::catalogue;
-use basilbay_membership::action::Action;
+use basilbay_membership::action::{Action, Origin, Source};
 use basilbay_membership::event::Event;
+use basilbay_membership::node::Node;
 use basilbay_membership::standing::{Lack, Standing};
 use basilbay_membership::view::Listing;
+use basilbay_wire::datagram::Heartbeat;
 use harness::Fleet;
-use harness::sample::{roster, text};
+use harness::sample::{address, identity, instance, roster, text};
 use proptest::prelude::*;
 
 proptest! {
@@ -36,6 +38,37 @@
     }
 }
 
+// Guards against work on an older version while the newer one that a peer announced is pulled.
+#[test]
+fn newer_awaited() {
+    let now = Instant::now();
+    let mut node = Node::new(identity(instance(0, 0, 3)), 1, now);
+    let platform = Origin {
+        source: Source::Platform,
+        ticket: 0,
+    };
+    node.roster(roster(1, &[0; 4], 3), &platform, now);
+    node.config_text(&text(3, ""), &platform, now);
+    let beat = Heartbeat {
+        config_version: 5,
+        ..Heartbeat::default()
+    };
+    node.heard(&instance(1, 0, 3).id, address(1), &beat, false, now);
+    assert_eq!(node.standing(now), Standing::Starting(Lack::Newer));
+    let peer = Source::Peer {
+        id: instance(1, 0, 3).id,
+        address: address(1),
+    };
+    node.config_failed(
+        &Origin {
+            source: peer,
+            ticket: 1,
+        },
+        now,
+    );
+    assert_eq!(node.standing(now), Standing::Serving);
+}
+
 fn standing(fleet: &Fleet) -> Standing {
     fleet.nodes[0].0.standing(fleet.at())
 }
--- a/crates/basilbay_membership/tests/version.rs
+++ b/crates/basilbay_membership/tests/version.rs
@@ -4,13 +4,16 @@
 mod harness;
 
 use std::sync::Arc;
+use std::time::Instant;
 
+use basilbay_membership::action::{Action, Origin, Source};
 use basilbay_membership::diff;
 use basilbay_membership::event::Event;
 use basilbay_membership::history::{History, MAX_VERSIONS};
+use basilbay_membership::node::Node;
 use basilbay_wire::control::Text;
 use harness::Fleet;
-use harness::sample::{text, version_of};
+use harness::sample::{identity, instance, text, version_of};
 use proptest::prelude::*;
 
 #[derive(Clone, Debug)]
@@ -125,6 +128,28 @@
     assert!(fleet.all_at(3));
 }
 
+// Guards against another text with the version in force when a service delivers it, and against
+// silence about it.
+#[test]
+fn flip_refused() {
+    let now = Instant::now();
+    let mut node = Node::new(identity(instance(0, 0, 3)), 1, now);
+    let platform = Origin {
+        source: Source::Platform,
+        ticket: 0,
+    };
+    node.config_text(&text(2, "first"), &platform, now);
+    let digest = node.serve_config(0, now).digest;
+    node.actions();
+    node.config_text(&text(2, "second"), &platform, now);
+    assert_eq!(node.serve_config(0, now).digest, digest);
+    let conflict = Event::ConfigConflict {
+        version: 2,
+        source: Source::Platform,
+    };
+    assert_eq!(node.actions(), [Action::Emit(conflict)]);
+}
+
 // Guards against a file with findings that is applied in part, and against a stream of reads of it.
 #[test]
 fn findings_refused() {
