Keep a paused fleet from reading the platform at once

After a pause everything heard is old, so that all 630 daemons took over from the readers and made 1,276 reads/s. What was heard now counts as fresh on resuming, and reads that confirm are spaced: the peak is 56 reads/s and all serve again after 850 ms. All tests of the crate pass.

--- a/crates/basilbay_membership/examples/spread.rs
+++ b/crates/basilbay_membership/examples/spread.rs
@@ -21,6 +21,7 @@
     steady(true);
     restart(false);
     restart(true);
+    pause();
     flapping();
     outage();
 }
@@ -149,6 +150,19 @@
     println!("{name}: peak {peak} reads/s, {later} after 10 s, all serve after {serving} ms");
 }
 
+fn pause() {
+    let mut fleet = started(1, 7);
+    (0..NODES).for_each(|index| fleet.pause(index, 2000));
+    fleet.run(2000);
+    let from = fleet.now;
+    while !fleet.all_serve() && fleet.now < from + 20_000 {
+        fleet.run(50);
+    }
+    let millis = fleet.now - from;
+    let peak = fleet.peak_reads(from);
+    println!("fleet paused for 2 s: peak {peak} reads/s, all serve again after {millis} ms");
+}
+
 fn flapping() {
     let mut fleet = started(1, 5);
     let from = fleet.now;
--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -296,6 +296,8 @@
             lane.flight = None;
         }
         self.jitter = reader::part_of(JITTER, &mut self.random);
+        // What was heard is old because of the pause, which says nothing about the readers.
+        self.freshen(now);
         self.confirm_at = now;
     }
 
--- a/crates/basilbay_membership/src/node/drive.rs
+++ b/crates/basilbay_membership/src/node/drive.rs
@@ -142,7 +142,7 @@
             // A new daemon cannot know how many others start with it.
             now >= self.started_at + self.jitter || asked_at.is_some()
         } else if self.is_reader() {
-            rested(POLL) || self.monitor.doubts(Part::Roster)
+            rested(POLL) || (self.monitor.doubts(Part::Roster) && rested(pause::RETRY))
         } else if self.platform_may_confirm(Part::Roster, now) {
             rested(DIRECT_GAP)
         } else {
@@ -157,14 +157,28 @@
             return;
         }
         let is_reader = self.is_reader();
-        let in_doubt = self.monitor.doubts(Part::Config);
-        if in_doubt && (is_reader || self.platform_may_confirm(Part::Config, now)) {
-            self.pull_config(Source::Platform, self.configuration.version(), now);
+        if self.monitor.doubts(Part::Config) {
+            self.read_config_at_once(now);
         } else if is_reader || self.must_watch(now) {
             self.watch_config(now);
         }
     }
 
+    /// Asks the platform to confirm the configuration after a pause, without the wait of a watch.
+    fn read_config_at_once(&mut self, now: Instant) {
+        let asked_at = self.platform.config_asked_at;
+        let rested = |gap| asked_at.is_none_or(|asked| now >= asked + gap);
+        let due = if self.is_reader() {
+            rested(pause::RETRY)
+        } else {
+            self.platform_may_confirm(Part::Config, now) && rested(DIRECT_GAP)
+        };
+        if due {
+            self.platform.config_asked_at = Some(now);
+            self.pull_config(Source::Platform, self.configuration.version(), now);
+        }
+    }
+
     /// Whether a daemon that is not a reader watches the configuration.
     fn must_watch(&self, now: Instant) -> bool {
         let asked_at = self.platform.config_asked_at;
@@ -191,7 +205,12 @@
 
     /// Whether what is heard is too old by `later`, or nothing is heard.
     fn must_read(&self, later: Duration, now: Instant) -> bool {
-        let heard = self.hearing.heard_at.unwrap_or(self.started_at);
+        let resumed = self.monitor.doubt().map(|doubt| doubt.since);
+        let heard = self
+            .hearing
+            .heard_at
+            .max(resumed)
+            .unwrap_or(self.started_at);
         let stale = now >= self.hearing.fresh_at + STALE + self.jitter + later;
         let silent = now >= heard + SILENCE + self.jitter + later;
         stale || (silent && self.circle.has_others())
--- a/crates/basilbay_membership/tests/startup.rs
+++ b/crates/basilbay_membership/tests/startup.rs
@@ -100,7 +100,7 @@
 }
 
 // Guards against a cut-off daemon that serves on, and against one that is cut off from its peers
-// only and refuses all work.
+// only and refuses all work or learns of a change later than 4 s.
 #[test]
 fn isolation_rule() {
     let mut fleet = Fleet::new(6, 3, 1);
@@ -110,6 +110,9 @@
     assert!(fleet.all_serve());
     let isolated = |fleet: &Fleet| fleet.nodes[0].1.actions.contains(&Action::Isolated(true));
     assert!(!isolated(&fleet));
+    fleet.config = text(2, "");
+    fleet.run(4000);
+    assert!(fleet.all_at(2));
     fleet.faults.cut[0] = true;
     fleet.run(6000);
     assert_eq!(standing(&fleet), Standing::Isolated);
