--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -1,8 +1,8 @@
 //! One daemon's view and its part in keeping others up to date.
 //!
 //! The daemon feeds a [`Node`] and carries out the [`Action`]s that it takes from
-//! [`Node::actions`] after each input. [`config`] and [`roster`] take the answers to pulls,
-//! [`drive`] does what is due with time.
+//! [`Node::actions`] after each input. `node/config` and `node/roster` take the answers to pulls,
+//! `node/drive` does what is due with time.
 
 mod config;
 mod drive;
