Let callers of a paused daemon wait until it has resumed

The scenario pause counted 66 requests as lost that sat in a daemon which was stopped for two seconds, while their callers waited one second past the deadline.

--- a/crates/basilbay_load/src/scenario.rs
+++ b/crates/basilbay_load/src/scenario.rs
@@ -93,6 +93,9 @@
     /// Whether callers speak HTTP/2.
     #[serde(default)]
     pub http2: bool,
+    /// Time after the deadline in which callers still wait for an answer.
+    #[serde(default = "grace_ms")]
+    pub grace_ms: u64,
     /// Shape of the load; repeats.
     #[serde(default)]
     pub steps: Vec<Step>,
@@ -111,6 +114,10 @@
     1.0
 }
 
+fn grace_ms() -> u64 {
+    1_000
+}
+
 impl Scenario {
     /// Finds a built-in scenario, or reads a file.
     pub fn find(name: &str) -> Result<Self> {
@@ -167,6 +174,7 @@
         let mut fleet = Fleet::start(self.deployment(policy)?).await?;
         let mut settings = Settings::new(&self.name);
         settings.http2 = self.http2;
+        settings.grace = Duration::from_millis(self.grace_ms);
         let mut crowd = Crowd::connect(settings, &fleet.entries()).await?;
         if !self.cold {
             trial::warm_up(&mut fleet, &mut crowd).await?;
