Offer a request to several targets before it waits, and let old figures fade

The estimate drew old figures towards a number of requests, which is more than the whole limit of a target on the ramp; and a slowness of long ago counted for ever.

Fill is now a part of the target's own limit, old slowness fades within 250 ms, and a call is offered to up to five targets without waiting, until four of five offers are refused. A ramp that slow answers began ends after four answers at the usual speed in place of 25.

--- a/crates/basilbay_admission/src/ramp.rs
+++ b/crates/basilbay_admission/src/ramp.rs
@@ -14,9 +14,14 @@
 /// Consecutive answers far above the profile that put a warm target back on the ramp.
 const FAR_ANSWERS: u32 = 4;
 
-/// What an answer at the usual warm time counts for on a ramp that slow answers or a restart of the
-/// daemon began. A target that answers as quickly as ever has paused and is not cold.
-const NORMAL_CREDIT: u32 = 8;
+/// What an answer at the siblings' usual time counts for on the ramp of a restarted daemon.
+const SIBLING_CREDIT: u32 = 8;
+
+/// Answers at the usual warm time that end a ramp which slow answers began. A target that answers
+/// requests as quickly as ever which were started after it was found slow had paused, or had a
+/// noisy neighbour, and is not cold: a cold one answers several times slower. With 25 answers in
+/// place of 4, bursts of 50 ms each 1.5 s cost so much room that 5% of the requests were refused.
+const NORMAL_ANSWERS: u32 = 4;
 
 /// Multiple of the siblings' service time after which earlier work has ended: the connections of
 /// the daemon before this one broke with it, which cancels its requests, and the slowest of a
@@ -68,9 +73,9 @@
         }
     }
 
-    fn is_met(&self, service: Duration, started: Instant) -> bool {
-        let usual = service.as_secs_f64() <= self.service.as_secs_f64() * SIBLING_FACTOR;
-        usual && started >= self.settled_at
+    fn is_met(&self, answer: Answer) -> bool {
+        let usual = answer.service.as_secs_f64() <= self.service.as_secs_f64() * SIBLING_FACTOR;
+        usual && answer.started >= self.settled_at
     }
 }
 
@@ -188,14 +193,13 @@
         if answer.order < climb.first {
             return;
         }
-        let normal = match climb.origin {
-            Origin::Cold => false,
-            Origin::Slow => profile.is_normal(service),
-            Origin::Restart => self
-                .reference
-                .is_some_and(|reference| reference.is_met(service, answer.started)),
+        let credit = match climb.origin {
+            Origin::Slow if profile.is_normal(service) => self.warm_after.div_ceil(NORMAL_ANSWERS),
+            Origin::Restart if self.reference.is_some_and(|known| known.is_met(answer)) => {
+                SIBLING_CREDIT
+            }
+            Origin::Cold | Origin::Slow | Origin::Restart => 1,
         };
-        let credit = if normal { NORMAL_CREDIT } else { 1 };
         climb.progress = climb.progress.saturating_add(credit);
         if climb.progress >= self.warm_after / 2 {
             climb.late_total += service.as_secs_f64();
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -252,7 +252,11 @@
 
     fn refuse(&mut self, cause: Cause) -> Problem {
         self.refused += 1;
-        Problem::not_run(cause, format!("{:?} at the target", self.gate.state()))
+        let gate = &self.gate;
+        let state = format!("{:?}", gate.state()).to_lowercase();
+        let (running, limit, waiting) = (gate.running(), gate.limit(), gate.queued());
+        let detail = format!("target {state}: {running} of {limit} run, {waiting} wait");
+        Problem::not_run(cause, detail)
     }
 }
 
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -12,7 +12,7 @@
 use basilbay_model::id::InstanceId;
 use basilbay_routing::board::CallId;
 use basilbay_routing::retry::{Attempts, Budget};
-use basilbay_routing::router::{Ending, Pick};
+use basilbay_routing::router::{Ending, Pick, Tried};
 use basilbay_wire::hop::Role;
 use basilbay_wire::problem::{Cause, Outcome, Problem};
 
@@ -102,18 +102,14 @@
     let mut course = Course {
         call: daemon.next_call(),
         attempts,
-        tried: Vec::new(),
-        failed: 0,
+        tried: Tried::default(),
         may_have_run: false,
         last: None,
         body,
     };
     loop {
-        let may_wait = course.attempts.may_wait();
-        let excluded = course.excluded(may_wait);
-        let picked = shard
-            .lock()
-            .pick(course.call, excluded, may_wait, Instant::now());
+        let now = Instant::now();
+        let picked = shard.lock().pick(course.call, &course.tried, now);
         let Some(pick) = picked else {
             return course.give_up(errand);
         };
@@ -137,9 +133,7 @@
 struct Course {
     call: CallId,
     attempts: Attempts,
-    /// Targets that were tried, those that failed first.
-    tried: Vec<InstanceId>,
-    failed: usize,
+    tried: Tried,
     /// Whether an attempt ended without saying that the request has not run.
     may_have_run: bool,
     last: Option<Reply>,
@@ -159,10 +153,9 @@
             self.may_have_run |= problem.outcome == Outcome::Unknown;
         }
         if matches!(&reply, Reply::Problem(problem) if problem.cause == Cause::NoCapacity) {
-            self.tried.push(id);
+            self.tried.full.push(id);
         } else {
-            self.tried.insert(0, id);
-            self.failed += 1;
+            self.tried.failed.push(id);
         }
         self.last = Some(reply);
         let Some(outcome) = outcome else {
@@ -171,15 +164,6 @@
         self.body.is_kept() && self.attempts.again(outcome, budget, Instant::now())
     }
 
-    /// Targets that are not asked again. One that was only full may be the best to wait at.
-    fn excluded(&self, may_wait: bool) -> &[InstanceId] {
-        if may_wait {
-            &self.tried[..self.failed]
-        } else {
-            &self.tried
-        }
-    }
-
     /// The last word to the caller.
     ///
     /// A refusal of the last attempt does not make the request "not run" if an earlier attempt
--- a/crates/basilbay_routing/benches/pick.rs
+++ b/crates/basilbay_routing/benches/pick.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use basilbay_routing::router::Ending;
+use basilbay_routing::router::{Ending, Tried};
 use basilbay_wire::load::Load;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 
@@ -30,12 +30,13 @@
             router.hear(&fleet::id(index), &load, now);
         }
         let mut now = now;
+        let tried = Tried::default();
         let mut call = 0;
         group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
             bencher.iter(|| {
                 call += 1;
                 now += BETWEEN_CALLS;
-                let picked = router.pick(call, &[], false, now);
+                let picked = router.pick(call, &tried, now);
                 if let Some(pick) = picked {
                     router.end(&pick.id, call, Ending::Answered, now);
                 }
--- a/crates/basilbay_routing/src/board.rs
+++ b/crates/basilbay_routing/src/board.rs
@@ -15,6 +15,10 @@
 /// within one service time, so the age follows the service time between them.
 const HALF_LIFE: (f64, f64) = (0.005, 0.1);
 
+/// Age at which a service time has lost half of its weight, in seconds. It is a mean over several
+/// requests and changes more slowly than what runs.
+const SLOWNESS_HALF_LIFE: f64 = 0.25;
+
 /// Weight of a new service time in the moving average.
 const LATENCY_GAIN: f64 = 0.2;
 
@@ -37,6 +41,8 @@
     pub call: CallId,
     /// When it was sent.
     pub sent_at: Instant,
+    /// Whether it may wait there for a slot.
+    pub may_wait: bool,
 }
 
 /// A target and what is known of it.
@@ -113,23 +119,24 @@
         0.5_f64.powf(age / half_life)
     }
 
-    /// Whether the target is known to be full, by figures that are fresh.
-    pub fn is_full(&self, summary: &Summary, now: Instant) -> bool {
-        let is_fresh = self.heard_within(Duration::from_secs_f64(summary.half_life), now);
-        is_fresh && self.load.in_flight >= self.load.limit
+    /// Estimated requests on the target, waiting ones included, as a part of its limit.
+    ///
+    /// An old figure is drawn towards the mean of the service: taking stale figures at their word
+    /// sends every caller to the same target, or none to a target that was full long ago.
+    pub fn fill(&self, board: &Board, now: Instant) -> f64 {
+        let limit = self.limit(board.slots);
+        let confidence = self.confidence(board.summary.half_life, now);
+        let reported = f64::from(self.load.in_flight + self.load.queued) / limit;
+        let blended = confidence * reported + (1.0 - confidence) * board.summary.typical_fill;
+        let fill = blended + f64::from(self.sent_since) / limit;
+        fill.max(f64::from(self.own_in_flight()) / limit)
     }
 
-    /// Estimated requests on the target, waiting ones included.
-    ///
-    /// An old figure is drawn towards the mean of the service: taking stale figures at
-    /// their word sends every caller to the same target.
-    pub fn estimate(&self, summary: &Summary, now: Instant) -> f64 {
-        let typical = summary.typical;
-        let confidence = self.confidence(summary.half_life, now);
-        let reported = f64::from(self.load.in_flight + self.load.queued);
-        let blended = confidence * reported + (1.0 - confidence) * typical;
-        let estimate = blended + f64::from(self.sent_since);
-        estimate.max(f64::from(self.own_in_flight()))
+    /// Recent service time as a multiple of the usual one, as far as it is still believed.
+    pub fn slowness(&self, summary: &Summary, now: Instant) -> f64 {
+        let confidence = self.confidence(SLOWNESS_HALF_LIFE, now);
+        let reported = f64::from(self.load.latency_us) / 1e6 / summary.usual_latency();
+        confidence * reported + (1.0 - confidence)
     }
 
     /// Requests that the target may run, as last heard.
@@ -169,8 +176,8 @@
 pub struct Summary {
     /// When the next review is due; `None` asks for one at once.
     pub due_at: Option<Instant>,
-    /// Mean of the reported requests on a target.
-    pub typical: f64,
+    /// Mean of the reported requests on a target as a part of its limit.
+    pub typical_fill: f64,
     /// Age at which a figure has lost half of its weight, in seconds.
     pub half_life: f64,
     /// Median of the service times, in seconds; `None` with fewer than two usable targets.
@@ -221,33 +228,26 @@
     }
 
     /// Notes a request that is sent to a target.
-    pub fn start(&mut self, index: usize, call: CallId, now: Instant) {
+    pub fn start(&mut self, index: usize, outstanding: Outstanding) {
         let target = &mut self.targets[index];
         target.sent_since += 1;
-        target.outstanding.push(Outstanding { call, sent_at: now });
+        target.outstanding.push(outstanding);
     }
 
-    /// Notes that a target answered; the time counts towards its latency.
-    pub fn answer(&mut self, id: &str, call: CallId, now: Instant) {
-        let Some(sent_at) = self.end(id, call) else {
-            return;
-        };
-        if let Some(index) = self.position(id) {
-            let target = &mut self.targets[index];
-            let sample = now.saturating_duration_since(sent_at).as_secs_f64();
-            target.latency += LATENCY_GAIN * (sample - target.latency);
-        }
-    }
-
-    /// Notes that a request is no longer with a target, and returns when it was sent.
-    pub fn end(&mut self, id: &str, call: CallId) -> Option<Instant> {
-        let index = self.position(id)?;
+    /// Notes that a request is no longer with a target, and returns what was known of it.
+    pub fn end(&mut self, index: usize, call: CallId) -> Option<Outstanding> {
         let target = &mut self.targets[index];
         let place = target
             .outstanding
             .iter()
             .position(|outstanding| outstanding.call == call)?;
-        Some(target.outstanding.remove(place).sent_at)
+        Some(target.outstanding.remove(place))
+    }
+
+    /// Takes the time of an answer into the latency of a target.
+    pub fn note_latency(&mut self, index: usize, took: Duration) {
+        let target = &mut self.targets[index];
+        target.latency += LATENCY_GAIN * (took.as_secs_f64() - target.latency);
     }
 
     /// Renews the summary when it is due; returns whether it was.
@@ -264,14 +264,15 @@
             }
             latencies.push(target.latency);
             if target.heard_at.is_some() {
-                reported += f64::from(target.load.in_flight + target.load.queued);
+                let requests = f64::from(target.load.in_flight + target.load.queued);
+                reported += requests / target.limit(self.slots);
                 heard += 1.0;
             }
         }
         let median_latency = lower_median(&mut latencies);
         self.summary = Summary {
             due_at: Some(now + REVIEW_INTERVAL),
-            typical: if heard > 0.0 { reported / heard } else { 0.0 },
+            typical_fill: if heard > 0.0 { reported / heard } else { 0.0 },
             median_latency,
             half_life: median_latency
                 .unwrap_or(HALF_LIFE.1)
--- a/crates/basilbay_routing/src/policy/balanced.rs
+++ b/crates/basilbay_routing/src/policy/balanced.rs
@@ -91,9 +91,11 @@
 
 /// Expected time of one more request on a target beyond its usual service time, in seconds.
 fn cost(target: &Target, board: &Board, now: Instant) -> f64 {
-    let usual = board.summary.usual_latency();
     let distance = if target.is_local { 0.0 } else { REMOTE_SECONDS };
-    distance + usual * (wait(target, board, now) + slowness(target, usual, now, board))
+    // Service times differ from request to request, so only a clear difference counts.
+    let slowness = target.slowness(&board.summary, now) / CLEARLY_SLOWER - 1.0;
+    let extra = wait(target, board, now) + slowness.clamp(0.0, MOST_SLOWNESS);
+    distance + board.summary.usual_latency() * extra
 }
 
 /// Expected wait for a slot, in usual service times.
@@ -101,21 +103,10 @@
 /// With many slots hardly anyone waits before a target is nearly full, which the fourth power
 /// follows; beyond that, each request that is ahead takes one service time of one slot.
 fn wait(target: &Target, board: &Board, now: Instant) -> f64 {
-    let limit = target.limit(board.slots);
-    let fill = target.estimate(&board.summary, now) / limit;
+    let fill = target.fill(board, now);
     if fill < 1.0 {
         FULL_WAIT * fill.powi(4)
     } else {
-        FULL_WAIT + (fill - 1.0) + 1.0 / limit
+        FULL_WAIT + (fill - 1.0) + 1.0 / target.limit(board.slots)
     }
 }
-
-/// Extra service time of a target that is slower than its siblings, in usual service times.
-///
-/// Service times differ from request to request, so only a clear difference counts.
-fn slowness(target: &Target, usual: f64, now: Instant, board: &Board) -> f64 {
-    let reported = f64::from(target.load.latency_us) / 1e6;
-    let confidence = target.confidence(board.summary.half_life, now);
-    let latency = confidence * reported + (1.0 - confidence) * target.latency;
-    (latency / usual / CLEARLY_SLOWER - 1.0).clamp(0.0, MOST_SLOWNESS)
-}
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -11,11 +11,8 @@
 
 use basilbay_wire::problem::Outcome;
 
-/// Refusals after which a call gives up; by then about every sibling was asked.
-pub const MAX_REFUSALS: u8 = 4;
-
-/// Refusals after which a request waits at a full target: two picks found no slot.
-const REFUSALS_BEFORE_WAITING: u8 = 2;
+/// Refusals after which a call gives up; by then it was refused by full targets and by queues.
+pub const MAX_REFUSALS: u8 = 8;
 
 /// Retries a second that a service may always make, however few calls it has.
 const FLOOR_PER_SECOND: f64 = 3.0;
@@ -119,11 +116,6 @@
         }
     }
 
-    /// Whether the next attempt may wait for a slot.
-    pub fn may_wait(&self) -> bool {
-        self.refusals >= REFUSALS_BEFORE_WAITING
-    }
-
     /// Whether to try again after an attempt that ended with `outcome`.
     pub fn again(&mut self, outcome: Outcome, budget: &mut Budget, now: Instant) -> bool {
         if now >= self.deadline {
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -10,7 +10,7 @@
 use basilbay_model::service::Policy as Name;
 use basilbay_wire::load::{Load, State};
 
-use crate::board::{Board, CallId, Target};
+use crate::board::{Board, CallId, Outstanding, Target};
 use crate::policy::{self, Policy};
 use crate::retry::{Attempts, Budget};
 use crate::straggler;
@@ -34,6 +34,32 @@
 /// Picks that are drawn to estimate each target's share.
 const SHARE_DRAWS: u32 = 1000;
 
+/// Targets that refuse a request at once before it waits at one of them.
+const MAX_OFFERS: usize = 5;
+
+/// Share of refused offers above which a request waits after one refusal: offers would then
+/// mostly cost time.
+const REFUSALS_RULE: f64 = 0.8;
+
+/// Weight of one offer in the share of refused ones.
+const REFUSAL_GAIN: f64 = 1.0 / 32.0;
+
+/// Targets that a call has tried.
+#[derive(Clone, Debug, Default)]
+pub struct Tried {
+    /// Those that had no room.
+    pub full: Vec<InstanceId>,
+    /// Those that failed or take no work.
+    pub failed: Vec<InstanceId>,
+}
+
+impl Tried {
+    /// Whether a target is not asked again.
+    fn excludes(&self, id: &InstanceId, may_wait: bool) -> bool {
+        self.failed.contains(id) || (!may_wait && self.full.contains(id))
+    }
+}
+
 /// Where a request goes next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pick {
@@ -78,6 +104,8 @@
     policy: Box<dyn Policy>,
     seed: u64,
     eligible: Vec<usize>,
+    /// Share of the offers without waiting that were refused, over about the last 32.
+    refusal_share: f64,
 }
 
 impl fmt::Debug for Router {
@@ -101,6 +129,7 @@
             policy: policy::make(Name::Basilbay, seed),
             seed,
             eligible: Vec::new(),
+            refusal_share: 0.0,
         }
     }
 
@@ -127,31 +156,31 @@
         self.board.sync(targets.collect());
     }
 
-    /// Picks a target that is not in `tried` and notes the attempt.
+    /// Picks a target for the next attempt of a call and notes the attempt.
     ///
-    /// With `may_wait` unset, the target is asked to refuse when it cannot run the request at
-    /// once; the pick decides otherwise where even the best target is known to be full.
-    pub fn pick(
-        &mut self,
-        call: CallId,
-        tried: &[InstanceId],
-        may_wait: bool,
-        now: Instant,
-    ) -> Option<Pick> {
+    /// A request is first offered to targets that shall refuse it when they are full, and waits
+    /// only after several did, or when refusals have become the rule: any free slot of the
+    /// service is better than a place in a queue. Where it waits, targets that refused may be
+    /// picked again, now with fresh figures.
+    pub fn pick(&mut self, call: CallId, tried: &Tried, now: Instant) -> Option<Pick> {
         if self.board.review(now) {
             straggler::review(&mut self.board, now);
         }
-        self.find_eligible(tried, now);
+        let may_wait = self.must_wait(tried, now);
+        self.find_eligible(|id| tried.excludes(id, may_wait), now);
         if self.eligible.is_empty() {
             return None;
         }
         let index = self.policy.pick(&self.board, &self.eligible, now);
-        self.board.start(index, call, now);
-        let target = &self.board.targets[index];
-        let waits = !self.policy.uses_feedback() || target.is_full(&self.board.summary, now);
+        let outstanding = Outstanding {
+            call,
+            sent_at: now,
+            may_wait,
+        };
+        self.board.start(index, outstanding);
         Some(Pick {
-            id: target.id.clone(),
-            may_wait: may_wait || waits || self.eligible.len() == 1,
+            id: self.board.targets[index].id.clone(),
+            may_wait,
         })
     }
 
@@ -160,33 +189,47 @@
         let Some(index) = self.board.position(id) else {
             return;
         };
+        let Some(outstanding) = self.board.end(index, call) else {
+            return;
+        };
         match ending {
             Ending::Answered => {
-                let sent_at = self.board.targets[index]
-                    .outstanding
-                    .iter()
-                    .find(|outstanding| outstanding.call == call)
-                    .map(|outstanding| outstanding.sent_at);
-                self.board.answer(id, call, now);
-                let took = sent_at.map_or(Duration::ZERO, |sent_at| {
-                    now.saturating_duration_since(sent_at)
-                });
+                let took = now.saturating_duration_since(outstanding.sent_at);
+                self.board.note_latency(index, took);
                 straggler::answered(&mut self.board, index, took);
+                self.note_offer(outstanding, false);
             }
-            Ending::Refused | Ending::Abandoned => {
-                self.board.end(id, call);
-            }
-            Ending::Failed => {
-                self.board.end(id, call);
-                straggler::failed(&mut self.board, index, now);
-            }
+            Ending::Refused => self.note_offer(outstanding, true),
+            Ending::Failed => straggler::failed(&mut self.board, index, now),
+            Ending::Abandoned => {}
+        }
+    }
+
+    /// Takes the fate of an offer into the share of refusals.
+    fn note_offer(&mut self, outstanding: Outstanding, is_refused: bool) {
+        if !outstanding.may_wait {
+            let sample = f64::from(u8::from(is_refused));
+            self.refusal_share += REFUSAL_GAIN * (sample - self.refusal_share);
         }
     }
 
+    fn must_wait(&self, tried: &Tried, now: Instant) -> bool {
+        if !self.policy.uses_feedback() || tried.full.len() >= MAX_OFFERS {
+            return true;
+        }
+        // Now and then an offer is made all the same, to notice when slots are free again.
+        let refusals_rule = self.refusal_share > REFUSALS_RULE;
+        if refusals_rule && !tried.full.is_empty() {
+            return true;
+        }
+        let mut targets = self.board.targets.iter();
+        !targets.any(|target| target.takes_work(now) && !tried.excludes(&target.id, false))
+    }
+
     /// What the router thinks of each target; the estimate of shares changes nothing.
     pub fn prospects(&mut self, seed: u64, now: Instant) -> Vec<Prospect> {
         self.board.review(now);
-        self.find_eligible(&[], now);
+        self.find_eligible(|_| false, now);
         let mut shares = vec![0; self.board.targets.len()];
         let mut policy = policy::make(self.name, seed);
         if !self.eligible.is_empty() {
@@ -246,11 +289,11 @@
     }
 
     /// Collects the positions that may be picked; stragglers only when nothing else is left.
-    fn find_eligible(&mut self, tried: &[InstanceId], now: Instant) {
+    fn find_eligible(&mut self, is_excluded: impl Fn(&InstanceId) -> bool, now: Instant) {
         self.eligible.clear();
         let avoids = self.policy.uses_feedback();
         let targets = &self.board.targets;
-        let is_open = |target: &Target| target.takes_work(now) && !tried.contains(&target.id);
+        let is_open = |target: &Target| target.takes_work(now) && !is_excluded(&target.id);
         for (index, target) in targets.iter().enumerate() {
             if is_open(target) && (!avoids || straggler::admits(target, now)) {
                 self.eligible.push(index);
--- a/crates/basilbay_routing/tests/pick.rs
+++ b/crates/basilbay_routing/tests/pick.rs
@@ -7,7 +7,7 @@
 
 use basilbay_model::service::Policy;
 use basilbay_routing::policy;
-use basilbay_routing::router::{Ending, Router};
+use basilbay_routing::router::{Ending, Router, Tried};
 use basilbay_wire::load::{Load, State};
 use fleet::{id, router};
 use proptest::prelude::*;
@@ -27,7 +27,7 @@
     let mut counts = vec![0; targets];
     for call in 0..count {
         let picked = router
-            .pick(call, &[], true, now)
+            .pick(call, &Tried::default(), now)
             .expect("a target is open")
             .id;
         let index = router.board.position(&picked).expect("it is on the board");
@@ -126,11 +126,11 @@
 fn silent_targets_rest() {
     let start = Instant::now();
     let mut router = router(6, 1, start);
-    let stuck = router.pick(1, &[], true, start).unwrap().id;
+    let stuck = router.pick(1, &Tried::default(), start).unwrap().id;
     let later = start + Duration::from_millis(60);
     let mut counts = 0;
     for call in 2..200 {
-        let picked = router.pick(call, &[], true, later).unwrap().id;
+        let picked = router.pick(call, &Tried::default(), later).unwrap().id;
         counts += usize::from(picked == stuck);
         router.end(&picked, call, Ending::Refused, later);
     }
@@ -143,15 +143,50 @@
     let start = Instant::now();
     let mut router = router(6, 1, start);
     for call in 0..60 {
-        router.pick(call, &[], true, start);
+        router.pick(call, &Tried::default(), start);
     }
     let later = start + Duration::from_secs(1);
-    router.pick(100, &[], true, later);
+    router.pick(100, &Tried::default(), later);
     let ejected = router.board.targets.iter();
     let ejected = ejected.filter(|target| target.ejection.is_active()).count();
     assert_eq!(ejected, 3);
 }
 
+/// Guards against requests that wait at one full target while another has a free slot.
+#[test]
+fn offers_before_waiting() {
+    let now = Instant::now();
+    let mut router = router(4, 1, now);
+    let mut tried = Tried::default();
+    for call in 0..3 {
+        let pick = router.pick(call, &tried, now).unwrap();
+        assert!(!pick.may_wait && !tried.full.contains(&pick.id));
+        router.end(&pick.id, call, Ending::Refused, now);
+        tried.full.push(pick.id);
+    }
+    let last = router.pick(3, &tried, now).unwrap();
+    assert!(!last.may_wait);
+    tried.full.push(last.id);
+    let waiting = router.pick(4, &tried, now).unwrap();
+    assert!(waiting.may_wait);
+}
+
+/// Guards against offers to every target in turn while the whole service is overloaded.
+#[test]
+fn overload_waits_early() {
+    let now = Instant::now();
+    let mut router = router(6, 1, now);
+    for call in 0..200 {
+        let pick = router.pick(call, &Tried::default(), now).unwrap();
+        router.end(&pick.id, call, Ending::Refused, now);
+    }
+    let tried = Tried {
+        full: vec![id(0)],
+        ..Tried::default()
+    };
+    assert!(router.pick(200, &tried, now).unwrap().may_wait);
+}
+
 proptest! {
     /// Guards against picks outside of what is allowed, whatever was heard in whatever order.
     #[test]
@@ -161,12 +196,12 @@
             Policy::Basilbay, Policy::RoundRobin, Policy::Random,
             Policy::LeastInFlight, Policy::TwoChoices,
         ]),
-        steps in prop::collection::vec((0_usize..9, 0_u8..6, 0_u64..200), 1..200),
+        steps in prop::collection::vec((0_usize..9, 0_u8..8, 0_u64..200), 1..200),
     ) {
         let mut now = Instant::now();
         let mut router = router(9, 3, now);
         let mut policy = policy::make(name, seed);
-        let mut tried = Vec::new();
+        let mut tried = Tried::default();
         for (step, (index, action, gap_ms)) in steps.into_iter().enumerate() {
             now += Duration::from_millis(gap_ms);
             let call = step as u64;
@@ -174,19 +209,21 @@
                 0 => router.hear(&id(index), &load(call, index as u32), now),
                 1 => router.board.leave(&id(index)),
                 2 => router.board.targets[index].allowed ^= true,
-                3 => tried = vec![id(index)],
+                3 => tried.failed = vec![id(index)],
+                6 => tried.full = vec![id(index)],
                 4 => router.end(&id(index), call / 2, Ending::Failed, now),
                 _ => router.end(&id(index), call / 2, Ending::Answered, now),
             }
-            if let Some(picked) = router.pick(call, &tried, false, now) {
+            if let Some(picked) = router.pick(call, &tried, now) {
                 let position = router.board.position(&picked.id).unwrap();
                 prop_assert!(router.board.targets[position].takes_work(now));
-                prop_assert!(!tried.contains(&picked.id));
+                prop_assert!(!tried.failed.contains(&picked.id));
+                prop_assert!(picked.may_wait || !tried.full.contains(&picked.id));
                 let eligible = [position];
                 prop_assert_eq!(policy.pick(&router.board, &eligible, now), position);
             } else {
                 let open = router.board.targets.iter().filter(|target| {
-                    target.takes_work(now) && !tried.contains(&target.id)
+                    target.takes_work(now) && !tried.failed.contains(&target.id)
                 });
                 prop_assert_eq!(open.count(), 0);
             }
