Test what callers and peers may send, against real daemons

The caller's side had no integration tests. A harness starts real daemons with stand-ins for the platform, the targets and the network; the first tests send malformed, oversized and foreign input to every port and check that it is refused as not run and that serving goes on.

--- /dev/null
+++ b/crates/basilbay_daemon/tests/common/call.rs
@@ -0,0 +1,200 @@
+//! Calls as a caller sends them, over HTTP/1.1 or HTTP/2.
+
+use std::net::SocketAddr;
+
+use basilbay_fakes::targets::answer;
+use basilbay_wire::header;
+use basilbay_wire::problem::{CONTENT_TYPE, Cause, Document, Outcome, Problem};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Version};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::{http1, http2};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::net::TcpStream;
+
+/// A request to the service `desk`, unless another is named.
+#[derive(Clone)]
+pub(crate) struct Call {
+    service: String,
+    method: Method,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Bytes,
+    version: Version,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Call {
+    /// An idempotent call without body.
+    pub(crate) fn read() -> Self {
+        Self::new(Method::GET, "/read")
+    }
+
+    /// An idempotent call with a body.
+    pub(crate) fn submit(body: impl Into<Bytes>) -> Self {
+        Self::new(Method::POST, "/submit").body(body)
+    }
+
+    /// A call that must not run twice.
+    pub(crate) fn write(body: impl Into<Bytes>) -> Self {
+        Self::new(Method::POST, "/write").body(body)
+    }
+
+    pub(crate) fn new(method: Method, path: &str) -> Self {
+        Self {
+            service: "desk".to_owned(),
+            method,
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            version: Version::HTTP_11,
+        }
+    }
+
+    pub(crate) fn to(mut self, service: &str) -> Self {
+        self.service = service.to_owned();
+        self
+    }
+
+    pub(crate) fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    pub(crate) fn id(self, request: &str) -> Self {
+        self.header(answer::REQUEST_ID, request)
+    }
+
+    pub(crate) fn key(self, key: &str) -> Self {
+        self.header(header::IDEMPOTENCY_KEY, key)
+    }
+
+    pub(crate) fn timeout_ms(self, timeout: u64) -> Self {
+        self.header(header::TIMEOUT_MS, &timeout.to_string())
+    }
+
+    /// Asks the target for this many bytes.
+    pub(crate) fn wants(self, bytes: usize) -> Self {
+        self.header(answer::BODY_BYTES, &bytes.to_string())
+    }
+
+    pub(crate) fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    pub(crate) fn over(mut self, version: Version) -> Self {
+        self.version = version;
+        self
+    }
+
+    /// Sends it on a connection of its own; a broken answer is an error, never a reply.
+    pub(crate) async fn send(&self, to: SocketAddr) -> anyhow::Result<Reply> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let stream = TokioIo::new(stream);
+        let request = self.request()?;
+        if self.version == Version::HTTP_2 {
+            let (mut sender, driver) = http2::handshake(TokioExecutor::new(), stream).await?;
+            let driver = tokio::spawn(driver);
+            let reply = collect(sender.send_request(request).await?).await;
+            driver.abort();
+            return reply;
+        }
+        let (mut sender, driver) = http1::handshake(stream).await?;
+        let driver = tokio::spawn(driver);
+        let answered = sender.send_request(request).await;
+        let reply = match answered {
+            Ok(response) => collect(response).await,
+            Err(error) => Err(error.into()),
+        };
+        driver.abort();
+        reply
+    }
+
+    /// Sends it and expects an answer of some kind.
+    pub(crate) async fn reply(&self, to: SocketAddr) -> Reply {
+        self.send(to).await.expect("an answer")
+    }
+
+    fn request(&self) -> anyhow::Result<Request<Full<Bytes>>> {
+        let mut request = Request::builder().method(self.method.clone());
+        request = match self.version {
+            Version::HTTP_2 => request.uri(format!("http://{}{}", self.service, self.path)),
+            _ => request.uri(&self.path).header("host", &self.service),
+        };
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        Ok(request.body(Full::new(self.body.clone()))?)
+    }
+}
+
+async fn collect(response: Response<hyper::body::Incoming>) -> anyhow::Result<Reply> {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    Ok(Reply {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
+}
+
+impl Reply {
+    /// Reads the problem and holds its parts against each other; panics on anything else.
+    pub(crate) fn problem(&self) -> Problem {
+        let document: Document = serde_json::from_slice(&self.body)
+            .unwrap_or_else(|error| panic!("no problem document: {error}: {self:?}"));
+        let problem = Problem::from_document(&document);
+        assert_eq!(self.headers["content-type"], CONTENT_TYPE);
+        assert_eq!(self.headers[header::OUTCOME], problem.outcome.as_str());
+        assert_eq!(self.status, problem.cause.status());
+        assert_eq!(document.status, self.status.as_u16());
+        assert!(!document.detail.is_empty() && !document.instance.is_empty());
+        problem
+    }
+
+    /// Expects a problem.
+    #[track_caller]
+    pub(crate) fn is_problem(&self, cause: Cause, outcome: Outcome) {
+        let problem = self.problem();
+        assert_eq!(
+            (problem.cause, problem.outcome),
+            (cause, outcome),
+            "{problem}"
+        );
+    }
+
+    /// Expects the whole answer of a target to this request.
+    #[track_caller]
+    pub(crate) fn is_answer(&self, request: &str, bytes: usize) {
+        assert_eq!(self.status, StatusCode::OK, "{self:?}");
+        assert!(!self.headers.contains_key(header::OUTCOME));
+        assert!(
+            answer::is_whole(request, bytes, &self.body),
+            "not the whole answer to {request}"
+        );
+    }
+
+    pub(crate) fn is_replayed(&self) -> bool {
+        self.headers.contains_key(header::REPLAYED)
+    }
+
+    /// The target that answered.
+    pub(crate) fn target(&self) -> String {
+        let json = self
+            .body
+            .split(|byte| *byte == b'\n')
+            .next()
+            .unwrap_or_default();
+        let answer: answer::Answer = serde_json::from_slice(json).expect("a target's answer");
+        answer.target.to_string()
+    }
+}
--- /dev/null
+++ b/crates/basilbay_daemon/tests/intake.rs
@@ -0,0 +1,221 @@
+//! What callers and other daemons may send, and how the daemon answers what it cannot read.
+
+#[allow(dead_code)]
+#[path = "common/call.rs"]
+mod call;
+#[allow(dead_code)]
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use basilbay_wire::frame;
+use basilbay_wire::header;
+use basilbay_wire::hop::{Hop, Role};
+use basilbay_wire::problem::{Cause, Outcome};
+use http::{Method, Version};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+
+use call::Call;
+use fleet::{Fleet, Plan};
+
+const VERSIONS: [Version; 2] = [Version::HTTP_11, Version::HTTP_2];
+
+async fn one() -> Fleet {
+    Fleet::start(Plan::new(&[("desk", 1)])).await
+}
+
+/// Sends a call over both versions, expects it refused as not run, and serving to go on.
+async fn refused(fleet: &Fleet, call: Call, cause: Cause) {
+    let entry = fleet.entry("desk-1");
+    for version in VERSIONS {
+        let reply = call.clone().id("refused").over(version).reply(entry).await;
+        reply.is_problem(cause, Outcome::NotRun);
+        serves(fleet, version).await;
+    }
+    assert!(fleet.runs("refused", 0).await.is_empty());
+}
+
+async fn serves(fleet: &Fleet, version: Version) {
+    let call = Call::read().id("fine").over(version);
+    call.reply(fleet.entry("desk-1")).await.is_answer("fine", 0);
+}
+
+/// Guards against calls that are handed to any service, or to a target without a contract for them.
+#[tokio::test]
+async fn unknown_names() {
+    let fleet = one().await;
+    refused(&fleet, Call::read().to("nowhere"), Cause::UnknownService).await;
+    refused(
+        &fleet,
+        Call::new(Method::GET, "/nothing"),
+        Cause::UnknownService,
+    )
+    .await;
+    refused(
+        &fleet,
+        Call::new(Method::DELETE, "/read"),
+        Cause::UnknownService,
+    )
+    .await;
+}
+
+/// Guards against work on requests whose time cannot be read or is over.
+#[tokio::test]
+async fn bad_deadlines() {
+    let fleet = one().await;
+    for text in ["soon", "1.5", "", "99999999999999999999"] {
+        let call = Call::read().header(header::TIMEOUT_MS, text);
+        refused(&fleet, call, Cause::BadRequest).await;
+    }
+    let twice = Call::read().timeout_ms(100).timeout_ms(200);
+    refused(&fleet, twice, Cause::BadRequest).await;
+    for text in ["0", "-5"] {
+        let call = Call::read().header(header::TIMEOUT_MS, text);
+        refused(&fleet, call, Cause::DeadlinePassed).await;
+    }
+}
+
+/// Guards against keys that several daemons could read differently.
+#[tokio::test]
+async fn bad_keys() {
+    let fleet = one().await;
+    let ahead = uuid::Timestamp::from_unix(uuid::NoContext, 32_503_680_000, 0);
+    let ahead = uuid::Uuid::new_v7(ahead).to_string();
+    for key in ["", "two words", &"k".repeat(129), "caf\u{e9}", &ahead] {
+        refused(&fleet, Call::write("x").key(key), Cause::BadRequest).await;
+    }
+    let twice = Call::write("x").key("one").key("two");
+    refused(&fleet, twice, Cause::BadRequest).await;
+}
+
+/// Guards against header sections that take the memory of the daemon or of its target.
+#[tokio::test]
+async fn large_headers() {
+    let fleet = one().await;
+    let large = Call::read().header("x-large", &"a".repeat(17 * 1024));
+    refused(&fleet, large, Cause::HeadersTooLarge).await;
+    let many = (0..80).fold(Call::read(), |call, n| call.header(&format!("x-{n}"), "a"));
+    refused(&fleet, many, Cause::HeadersTooLarge).await;
+    for version in VERSIONS {
+        // Beyond what the library reads the connection may end without a problem document.
+        let huge = Call::read()
+            .over(version)
+            .header("x-huge", &"a".repeat(512 * 1024));
+        if let Ok(reply) = huge.send(fleet.entry("desk-1")).await {
+            assert!(reply.status.is_client_error());
+        }
+        serves(&fleet, version).await;
+    }
+}
+
+/// Guards against endless call loops.
+#[tokio::test]
+async fn deep_chain() {
+    let fleet = one().await;
+    let deep = |depth: &str| Call::read().header(header::DEPTH, depth);
+    refused(&fleet, deep("12"), Cause::TooDeep).await;
+    refused(&fleet, deep("300"), Cause::TooDeep).await;
+    refused(&fleet, deep("deep"), Cause::BadRequest).await;
+    let entry = fleet.entry("desk-1");
+    deep("11")
+        .id("last")
+        .reply(entry)
+        .await
+        .is_answer("last", 0);
+}
+
+/// Guards against hops that are run although what they ask for cannot be read.
+#[tokio::test]
+async fn bad_hops() {
+    let fleet = one().await;
+    let peers = fleet.daemon("desk-1").peers;
+    let other = frame::encode_header(&["not", "a", "hop"]);
+    let keyless = frame::encode_header(&Hop {
+        format: frame::FORMAT,
+        service: "desk".into(),
+        kind: "write".into(),
+        idempotent: false,
+        weight: 1,
+        timeout_ms: 1000,
+        allowance: 0,
+        depth: 0,
+        origin: "desk-9".into(),
+        config_version: 1,
+        role: Role::Home,
+        fingerprint: 1,
+    });
+    for hop in ["%%%", "AAAA", "", &other, &keyless, &"A".repeat(8000)] {
+        for version in VERSIONS {
+            let call = Call::read()
+                .header(header::HOP, hop)
+                .id("hop")
+                .over(version);
+            let reply = call.reply(peers).await;
+            reply.is_problem(Cause::BadRequest, Outcome::NotRun);
+        }
+    }
+    let reply = Call::read().id("hop").reply(peers).await;
+    reply.is_problem(Cause::BadRequest, Outcome::NotRun);
+    assert!(fleet.runs("hop", 0).await.is_empty());
+    serves(&fleet, Version::HTTP_11).await;
+}
+
+/// Guards against datagrams of other software that stop or mislead the daemon.
+#[tokio::test]
+async fn bad_datagrams() {
+    let fleet = one().await;
+    let peers = fleet.daemon("desk-1").peers;
+    let socket = UdpSocket::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .await
+        .unwrap();
+    for datagram in [
+        &b"garbage"[..],
+        &[],
+        &[0xc1; 64],
+        &[0x93; 1200],
+        &[0x80; 9000],
+    ] {
+        socket.send_to(datagram, peers).await.unwrap();
+    }
+    let give_up = tokio::time::Instant::now() + Duration::from_secs(5);
+    while fleet.log("desk-1").matches("\"event\":605").count() < 5 {
+        assert!(
+            tokio::time::Instant::now() < give_up,
+            "{}",
+            fleet.log("desk-1")
+        );
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    serves(&fleet, Version::HTTP_11).await;
+}
+
+/// Guards against a daemon that falls over what is no HTTP at all.
+#[tokio::test]
+async fn garbage_bytes() {
+    let fleet = one().await;
+    let daemon = fleet.daemon("desk-1");
+    for port in [daemon.callers, daemon.peers, daemon.admin] {
+        for bytes in [
+            &b"\x00\x01\x02\xff\xfe"[..],
+            b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\nnot frames at all",
+            &[0x16; 5000],
+        ] {
+            let mut stream = TcpStream::connect(port).await.unwrap();
+            let _ = stream.write_all(bytes).await;
+            let _ = stream.shutdown().await;
+            let mut rest = Vec::new();
+            let read = stream.read_to_end(&mut rest);
+            tokio::time::timeout(Duration::from_secs(5), read)
+                .await
+                .expect("the connection ends")
+                .ok();
+        }
+    }
+    for version in VERSIONS {
+        serves(&fleet, version).await;
+    }
+    fleet.wait_until_serving().await;
+}
