Repair streamed request bodies and links, found by tests of answers

Bodies over 64 KB with a stated length ended the task that sent them, since the lower bound of the size was set above the upper one; after a refusal they were sent again without content. A link to a peer was opened to the source of its datagrams and kept although the instance list named another address.

--- a/crates/basilbay_daemon/src/body.rs
+++ b/crates/basilbay_daemon/src/body.rs
@@ -41,6 +41,8 @@
     Kept(Bytes),
     /// Its first part, and the rest as it comes.
     Streaming(Bytes, Incoming),
+    /// Nothing: it was streamed to one attempt and cannot be sent again.
+    Taken,
 }
 
 impl Received {
@@ -83,6 +85,7 @@
     pub fn prefix(&self) -> &[u8] {
         match self {
             Self::Kept(bytes) | Self::Streaming(bytes, _) => bytes,
+            Self::Taken => &[],
         }
     }
 
@@ -90,13 +93,10 @@
     pub fn take(&mut self) -> Option<Body> {
         match self {
             Self::Kept(bytes) => Some(full(bytes.clone())),
-            Self::Streaming(..) => {
-                let taken = std::mem::replace(self, Self::Kept(Bytes::new()));
-                let Self::Streaming(prefix, rest) = taken else {
-                    return None;
-                };
-                Some(Prefixed::new(prefix, rest).boxed_unsync())
-            }
+            Self::Streaming(..) | Self::Taken => match std::mem::replace(self, Self::Taken) {
+                Self::Streaming(prefix, rest) => Some(Prefixed::new(prefix, rest).boxed_unsync()),
+                _ => None,
+            },
         }
     }
 
@@ -142,13 +142,12 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let mut hint = self.rest.size_hint();
-        if let Some(prefix) = &self.prefix {
-            let length = prefix.len() as u64;
-            hint.set_lower(hint.lower() + length);
-            if let Some(upper) = hint.upper() {
-                hint.set_upper(upper + length);
-            }
+        let rest = self.rest.size_hint();
+        let length = self.prefix.as_ref().map_or(0, |prefix| prefix.len() as u64);
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + length);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + length);
         }
         hint
     }
--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -254,6 +254,9 @@
     address: SocketAddr,
     path: &str,
 ) -> Result<T> {
+    // A datagram's source need not accept connections; the listed address does.
+    let listed = daemon.view().roster.instance(peer).map(|it| it.peer);
+    let address = listed.unwrap_or(address);
     let uri = format!("http://{address}{path}");
     let request = Request::get(uri).body(body::empty())?;
     let link = daemon.links.to(peer, address);
--- a/crates/basilbay_daemon/src/link.rs
+++ b/crates/basilbay_daemon/src/link.rs
@@ -40,6 +40,14 @@
 }
 
 impl Link {
+    fn new(peer: &InstanceId, address: SocketAddr) -> Arc<Self> {
+        Arc::new(Self {
+            peer: peer.clone(),
+            address,
+            sender: tokio::sync::Mutex::new(None),
+        })
+    }
+
     /// Sends a request.
     pub async fn send(
         &self,
@@ -103,17 +111,18 @@
 }
 
 impl Links {
-    /// Finds or makes the link to a peer; it is opened with the first request.
+    /// Finds or makes the link to a peer at an address; it is opened with the first request.
     pub fn to(&self, peer: &InstanceId, address: SocketAddr) -> Arc<Link> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         match links.binary_search_by(|link| link.peer.cmp(peer)) {
-            Ok(index) => links[index].clone(),
+            Ok(index) => {
+                if links[index].address != address {
+                    links[index] = Link::new(peer, address);
+                }
+                links[index].clone()
+            }
             Err(index) => {
-                let link = Arc::new(Link {
-                    peer: peer.clone(),
-                    address,
-                    sender: tokio::sync::Mutex::new(None),
-                });
+                let link = Link::new(peer, address);
                 links.insert(index, link.clone());
                 link
             }
--- a/crates/basilbay_daemon/tests/common/call.rs
+++ b/crates/basilbay_daemon/tests/common/call.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use basilbay_fakes::targets::answer;
-use basilbay_wire::header;
+use basilbay_wire::hop::{Hop, Role};
 use basilbay_wire::problem::{CONTENT_TYPE, Cause, Document, Outcome, Problem};
+use basilbay_wire::{frame, header};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
@@ -80,6 +81,25 @@
         self.header(header::TIMEOUT_MS, &timeout.to_string())
     }
 
+    /// Turns it into a hop, for the peer port of a daemon that is to run it.
+    pub(crate) fn hop(self, service: &str, timeout_ms: u32) -> Self {
+        let hop = Hop {
+            format: frame::FORMAT,
+            service: service.into(),
+            kind: "read".into(),
+            idempotent: true,
+            weight: 1,
+            timeout_ms,
+            allowance: 0,
+            depth: 0,
+            origin: "tests".into(),
+            config_version: 1,
+            role: Role::Run,
+            fingerprint: fastrand::u64(..),
+        };
+        self.header(header::HOP, &frame::encode_header(&hop))
+    }
+
     /// Asks the target for this many bytes.
     pub(crate) fn wants(self, bytes: usize) -> Self {
         self.header(answer::BODY_BYTES, &bytes.to_string())
