--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -12,6 +12,7 @@
 use basilbay_routing::board::CallId;
 use basilbay_routing::retry::{Attempts, Budget};
 use basilbay_routing::router::Ending;
+use basilbay_wire::header;
 use basilbay_wire::hop::Role;
 use basilbay_wire::problem::{Cause, Outcome, Problem};
 
@@ -50,13 +51,21 @@
     let now = Instant::now();
     let (parts, incoming) = request.into_parts();
     if !daemon.trust.holds(now) {
-        let detail = "the daemon is confirming its view";
-        return Err(Problem::not_run(Cause::Unconfirmed, detail));
+        let problem = Problem::not_run(Cause::Unconfirmed, "the daemon is confirming its view");
+        // Of a key only its home knows whether an earlier send ran.
+        let is_keyed = parts.headers.contains_key(header::IDEMPOTENCY_KEY);
+        return Err(if is_keyed {
+            problem.into_unknown()
+        } else {
+            problem
+        });
     }
     let intake = intake::read(&parts, &daemon.view().config)?;
     let trace = Context::from_headers(&parts.headers, daemon.draw()).child(daemon.draw());
     let mut errand = Errand::new(parts, intake, trace, now);
-    let body = Received::read_until(incoming, errand.deadline).await?;
+    let body = Received::read_until(incoming, errand.deadline)
+        .await
+        .map_err(|problem| errand.intake.of_this_send(problem))?;
     errand.fingerprint = suspect::fingerprint(
         &errand.intake.service,
         errand.method.as_str(),
--- a/crates/basilbay_daemon/src/home.rs
+++ b/crates/basilbay_daemon/src/home.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use http_body_util::BodyExt;
+use sha2::{Digest, Sha256};
 use tokio::sync::oneshot;
 
 use basilbay_keys::home::{self, Verdict};
@@ -141,6 +142,9 @@
     .await;
     match returned.reply {
         // This send has not run, but an earlier one with the same key may have.
+        Reply::Problem(problem) if problem.cause == Cause::DeadlinePassed => {
+            Reply::Problem(problem.into_unknown())
+        }
         Reply::Problem(problem) if !returned.is_reachable => unknown(problem.to_string()),
         reply => reply,
     }
@@ -268,14 +272,17 @@
     }
 }
 
-/// Hash of the request itself, to tell another request with the same key.
+/// Hash of the request itself, to tell another request with the same key. Of a body that is too
+/// large to keep, the part counts that every daemon reads before it streams the rest.
 fn content_of(errand: &Errand, body: &Received) -> u64 {
+    let prefix = body.prefix();
+    let known = &prefix[..prefix.len().min(body::MAX_KEPT_BYTES)];
     suspect::fingerprint(
         &errand.intake.service,
         errand.method.as_str(),
         errand.path.as_str(),
         None,
-        body.prefix(),
+        &Sha256::digest(known),
     )
 }
 
--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -204,7 +204,8 @@
     };
     match Received::read_until(incoming, errand.deadline).await {
         Ok(body) => home::own(daemon, errand, body, key).await,
-        Err(problem) => Reply::Problem(problem),
+        // The memory was not asked, and an earlier send may have run.
+        Err(problem) => Reply::Problem(problem.into_unknown()),
     }
 }
 
--- a/crates/basilbay_daemon/src/intake.rs
+++ b/crates/basilbay_daemon/src/intake.rs
@@ -61,21 +61,40 @@
     let allowance = number(&parts.headers, header::ALLOWANCE)?;
     let allowance = allowance.unwrap_or_else(|| u64::from(config.limits.allowance));
     let allowance = allowance.min(u64::from(config.limits.allowance));
-    let timeout = timeout(&parts.headers, kind.timeout)?;
-    if service.state == State::Out {
-        let detail = format!("service '{name}' is out");
-        return Err(refuse(Cause::ServiceOut, detail));
-    }
-    Ok(Intake {
+    let mut intake = Intake {
         service: service.id.clone(),
         kind: kind.id.clone(),
         idempotent: kind.idempotent,
         weight: kind.weight,
-        timeout,
+        timeout: kind.timeout,
         key: text(&parts.headers, header::IDEMPOTENCY_KEY)?.map(Arc::from),
         depth: depth as u8,
         allowance: u8::try_from(allowance).unwrap_or(u8::MAX),
-    })
+    };
+    let timeout = timeout(&parts.headers, kind.timeout);
+    intake.timeout = timeout.map_err(|problem| intake.of_this_send(problem))?;
+    // The home of a key is asked all the same: it may remember an answer.
+    if service.state == State::Out && !intake.has_home() {
+        let detail = format!("service '{name}' is out");
+        return Err(refuse(Cause::ServiceOut, detail));
+    }
+    Ok(intake)
+}
+
+impl Intake {
+    /// Whether the home of its key decides about the request.
+    pub fn has_home(&self) -> bool {
+        self.key.is_some() && !self.idempotent
+    }
+
+    /// Words a refusal that another send of the same request need not have met: only the home of
+    /// a key knows whether an earlier send ran.
+    pub fn of_this_send(&self, problem: Problem) -> Problem {
+        if self.has_home() && problem.cause != Cause::BadRequest {
+            return problem.into_unknown();
+        }
+        problem
+    }
 }
 
 fn refuse(cause: Cause, detail: impl Into<Arc<str>>) -> Problem {
--- a/crates/basilbay_daemon/src/pool.rs
+++ b/crates/basilbay_daemon/src/pool.rs
@@ -97,8 +97,9 @@
         self.lock().clear();
     }
 
-    /// Opens connections until enough are idle.
+    /// Opens connections until enough are idle; those that the target closed do not count.
     pub async fn fill(&self) -> Result<()> {
+        self.lock().retain(|connection| !connection.is_closed());
         while self.lock().len() < SPARE && self.open() < self.most.load(Ordering::Relaxed) {
             let connection = self.connect().await?;
             self.put(connection);
--- a/crates/basilbay_wire/src/problem.rs
+++ b/crates/basilbay_wire/src/problem.rs
@@ -196,6 +196,14 @@
         }
     }
 
+    /// The same problem with a request that may have run.
+    pub fn into_unknown(self) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            ..self
+        }
+    }
+
     /// Reads a problem back from the document that another daemon made.
     pub fn from_document(document: &Document) -> Self {
         let slug = document.kind.rsplit(':').next().unwrap_or_default();
