--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -31,6 +31,10 @@
 /// Largest problem document that is read.
 const MAX_PROBLEM_BYTES: usize = 16 * 1024;
 
+/// Time beyond the deadline in which a refusal of the other daemon may arrive: it knows that the
+/// request has not run, which is better than a 504 of which the outcome is unknown.
+const REFUSAL_GRACE: Duration = Duration::from_millis(25);
+
 /// What came back from another daemon.
 pub struct Return {
     /// The answer or problem.
@@ -57,9 +61,10 @@
     let trace = errand.trace.child(daemon.draw());
     let request = errand.to_daemon(&hop, trace, body);
     let link = daemon.links.to(peer, address);
-    let sent = tokio::time::timeout_at(errand.deadline.into(), link.send(request)).await;
+    let deadline = errand.deadline + REFUSAL_GRACE;
+    let sent = tokio::time::timeout_at(deadline.into(), link.send(request)).await;
     let problem = match sent {
-        Ok(Ok(response)) => return read(response, errand.deadline).await,
+        Ok(Ok(response)) => return read(response, deadline).await,
         Ok(Err(Failure::NotSent(error))) => {
             Problem::not_run(Cause::PeerFailed, format!("{peer}: {error:#}"))
         }
