Pull from the listed address of a peer

Cause: a version heard of was pulled from the source address of the datagram. Behind a relay or on a host with several addresses nobody listens there, and the change came late or never.

Change: the address of the instance list is used where the list names the peer.

Result: relayed_beat fails without the change and passes with it.

--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -215,9 +215,10 @@
         if beat.state == State::Leaving {
             self.note_left(from);
         }
-        self.compare_config(from, source, beat);
+        let address = self.address_of(from).unwrap_or(source);
+        self.compare_config(from, address, beat);
         if beat.roster_version > self.listing.version() {
-            self.hearing.roster.tell(from, source, beat.roster_version);
+            self.hearing.roster.tell(from, address, beat.roster_version);
         }
         if self.listing.hear(beat.roster_version, beat.roster_as_of_ms) {
             self.freshen(now);
@@ -228,6 +229,13 @@
         self.pull_newer(now);
     }
 
+    /// Listed address of a peer. A datagram may come from another one, on a host with several
+    /// addresses or through a relay, and pulls would then meet a closed port.
+    fn address_of(&self, id: &InstanceId) -> Option<SocketAddr> {
+        let roster = self.listing.roster()?;
+        roster.instance(id).map(|instance| instance.peer)
+    }
+
     /// Takes the notice of a peer that its target leaves.
     pub fn left(&mut self, from: &InstanceId, now: Instant) {
         self.observe(now);
--- a/crates/basilbay_membership/tests/gossip.rs
+++ b/crates/basilbay_membership/tests/gossip.rs
@@ -90,6 +90,25 @@
     assert_eq!(config_pulls(node.actions()), []);
 }
 
+// Guards against pulls at the address that a datagram came from when a relay stands between, where
+// nobody listens.
+#[test]
+fn relayed_beat() {
+    let now = Instant::now();
+    let mut node = Node::new(identity(instance(0, 0, 3)), 1, now);
+    let platform = Origin {
+        source: Source::Platform,
+        ticket: 0,
+    };
+    node.roster(roster(1, &[0; 3], 3), &platform, now);
+    node.config_text(&text(1, ""), &platform, now);
+    node.actions();
+    let relay = address(900);
+    node.heard(&instance(1, 0, 3).id, relay, &beat(2), false, now);
+    let pulls = config_pulls(node.actions());
+    assert!(matches!(&pulls[..], [(from, 1)] if is_at(from, 1)));
+}
+
 // Guards against edits that lead to another text than the sender's.
 #[test]
 fn wrong_edits() {
