Notice that an idle target has ended

Cause: closed connections were counted as kept ones, so no new one was opened and the end of a target showed only with the next request.

Change: kept connections are dropped once none is open.

--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -99,6 +99,11 @@
 /// Keeps connections ready and notices when the target goes away or comes back.
 pub async fn drive(daemon: Arc<Daemon>) {
     loop {
+        // A target that ends closes its idle connections too; while they are counted as kept, no
+        // connection is opened and nothing shows that the target is gone.
+        if daemon.pool.open() == 0 {
+            daemon.pool.clear();
+        }
         let is_up = daemon.pool.fill().await.is_ok();
         daemon.health.set_down(&daemon, !is_up);
         tokio::time::sleep(CHECK_INTERVAL).await;
--- a/crates/basilbay_daemon/tests/replace.rs
+++ b/crates/basilbay_daemon/tests/replace.rs
@@ -111,3 +111,29 @@
     let over_cold: u64 = violations.iter().map(|violation| violation.over_cold).sum();
     assert_eq!(over_cold, 0, "{violations:?}");
 }
+
+/// Guards against a target that ends and comes back cold while nothing runs on it, and that its
+/// daemon takes for the warm one from before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn idle_target() {
+    let fleet = Fleet::start(Plan {
+        domains: 2,
+        services: vec!["fit"],
+        ..Plan::default()
+    })
+    .await;
+    let load = Load::start(fleet.entries(&fleet.all()), vec!["fit"], GAP);
+    let is_warm = |status: &basilbay_admin::Status| &*status.state == "warm";
+    fleet.until(&[0], PATIENCE, is_warm).await;
+    load.stop().await;
+    let crash = fault::Change {
+        crash: Some(fault::Crash::default()),
+        ..fault::Change::default()
+    };
+    assert!(fleet.targets.change("fit-1", &crash));
+    let noticed = fleet.daemon(0).until_event(300, 1).await;
+    println!("the end of an idle target is noticed after {noticed:?}");
+    fleet.daemon(0).until_event(303, 1).await;
+    let status = fleet.status(0).await.expect("the daemon answers");
+    assert_eq!(&*status.state, "cold");
+}
