--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -99,9 +99,19 @@
         if state == State::Cold {
             daemon.compare_with_siblings(now);
         }
+        note_own_load(&daemon, now);
     }
 }
 
+/// Keeps the figures of the own target fresh on the own board.
+///
+/// Old figures count for less. Those that come only with answers grow old once the target is passed
+/// over, and then it is passed over for ever.
+fn note_own_load(daemon: &Daemon, now: Instant) {
+    let load = daemon.admission.load();
+    daemon.hear_load(&daemon.settings.id, &load, now);
+}
+
 /// Receives datagrams for as long as the daemon runs.
 pub async fn receive(daemon: Arc<Daemon>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
--- a/crates/basilbay_daemon/tests/domain.rs
+++ b/crates/basilbay_daemon/tests/domain.rs
@@ -3,14 +3,15 @@
 #[path = "fleet_common/fleet.rs"]
 mod fleet;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use basilbay_admin::Status;
 use basilbay_fakes::proxy::fault::Faults;
 use basilbay_fakes::targets::fault;
+use fleet::daemon::explain;
 use fleet::load::{self, Load, now_us};
 use fleet::plan::{self, Change, Plan};
-use fleet::{CHANGE_LIMIT, Fleet, PATIENCE};
+use fleet::{CHANGE_LIMIT, Fleet, LOOK, PATIENCE};
 
 /// Time between two requests: about 8 of 72 slots are in use.
 const GAP: Duration = Duration::from_micros(2_500);
@@ -18,6 +19,10 @@
 /// Time for which the load goes on past the limit, so that late work would show.
 const PAST: Duration = Duration::from_millis(300);
 
+/// Age below which a figure is fresh; load that comes with answers is a second old at the planned
+/// scale.
+const FRESH: Duration = Duration::from_secs(1);
+
 fn plan() -> Plan {
     Plan {
         service_us: 20_000,
@@ -121,3 +126,29 @@
     let over_cold: u64 = violations.iter().map(|violation| violation.over_cold).sum();
     assert_eq!(over_cold, 0, "{violations:?}");
 }
+
+/// Guards against a daemon that holds an old figure of its own target, takes it for full or slow
+/// and sends all its callers to other failure domains for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn own_figures() {
+    let fleet = Fleet::start(Plan {
+        domains: 2,
+        services: vec!["fit"],
+        ..Plan::default()
+    })
+    .await;
+    // Nothing runs, so no answer brings figures.
+    tokio::time::sleep(2 * FRESH).await;
+    let start = Instant::now();
+    let mut age = None;
+    while age.is_none_or(|age| u128::from(age) >= FRESH.as_millis()) {
+        assert!(start.elapsed() < PATIENCE, "{age:?} ms old");
+        let explanation = explain(fleet.seats[0].admin).await;
+        let candidates = explanation.map_or(Vec::new(), |explanation| explanation.candidates);
+        let own = candidates
+            .iter()
+            .find(|own| *own.instance == *fleet.seats[0].id);
+        age = own.and_then(|own| own.age_ms);
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- a/crates/basilbay_daemon/tests/fleet_common/daemon.rs
+++ b/crates/basilbay_daemon/tests/fleet_common/daemon.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use basilbay_admin::{AdminClient, Status};
+use basilbay_admin::{AdminClient, Explanation, Status};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use tarpc::serde_transport::tcp;
@@ -140,6 +140,18 @@
     tokio::time::timeout(STATUS_TIMEOUT, asking).await.ok()?
 }
 
+/// Asks a daemon what it thinks of the targets of `fit`.
+pub(crate) async fn explain(admin: SocketAddr) -> Option<Explanation> {
+    let asking = async {
+        let transport = tcp::connect(admin, Json::default).await.ok()?;
+        let client = AdminClient::new(client::Config::default(), transport).spawn();
+        let [service, method, path] = ["fit", "GET", "/fit"].map(str::to_owned);
+        let explaining = client.explain(context::current(), service, method, path);
+        explaining.await.ok()
+    };
+    tokio::time::timeout(STATUS_TIMEOUT, asking).await.ok()?
+}
+
 fn text(seat: &Seat, region: &str) -> String {
     format!(
         "[instance]\nid = {}\nservice = {}\ndomain = {}\nregion = {region}\ntarget = {}\n\n\
