--- a/crates/basilbay_keys/benches/keys.rs
+++ b/crates/basilbay_keys/benches/keys.rs
@@ -1,5 +1,6 @@
 //! Cost of finding a key's home and of claiming and ending a key.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::sync::Arc;
@@ -13,6 +14,8 @@
 use criterion::{Criterion, criterion_group, criterion_main};
 
 const RETENTION: Duration = Duration::from_secs(600);
+/// Time for which an ended key is kept: the retention, a grace and a step.
+const KEPT: Duration = Duration::from_secs(634);
 const WALL: u64 = 10_000_000;
 
 fn key(number: u64) -> Key {
@@ -71,37 +74,56 @@
     });
 }
 
-/// One key more and one key less, at a constant number of keys.
+/// Claims and ends one key, and forgets the oldest, at a constant number of keys.
 fn claim(criterion: &mut Criterion) {
-    let now = Instant::now();
     for count in [1000, 100_000] {
-        let keys: Vec<_> = (0..count + 1000).map(key).collect();
-        let mut memory = Memory::new(limits());
+        let keys: Vec<_> = (0..2 * u64::from(count)).map(key).collect();
+        let step = KEPT / count;
+        let memory = RefCell::new(Memory::new(limits()));
         let shards = Shards::new(limits());
-        for key in &keys[..count as usize] {
+        let one = |key: &Key, now| {
+            let mut memory = memory.borrow_mut();
             memory.claim(key, 1, 0, now);
             memory.finish(key, Finish::TooLarge, now);
-            shards.claim(key, 1, 0, now);
-            shards.finish(key, Finish::TooLarge, now);
-        }
-        let mut next = keys[count as usize..].iter().cycle();
-        criterion.bench_function(&format!("claim_finish/{count}"), |bench| {
-            bench.iter(|| {
-                let key = next.next().expect("a cycle");
-                memory.claim(key, 1, 0, now);
-                memory.finish(key, Finish::NotRun, now)
-            });
-        });
-        criterion.bench_function(&format!("claim_finish_shards/{count}"), |bench| {
-            bench.iter(|| {
-                let key = next.next().expect("a cycle");
-                shards.claim(key, 1, 0, now);
-                shards.finish(key, Finish::NotRun, now)
-            });
-        });
+            memory.forget(now);
+        };
+        let sharded = |key: &Key, now| {
+            let mut memory = shards.lock(key);
+            memory.claim(key, 1, 0, now);
+            memory.finish(key, Finish::TooLarge, now);
+            memory.forget(now);
+        };
+        cycle(
+            criterion,
+            &format!("claim_finish/{count}"),
+            &keys,
+            step,
+            one,
+        );
+        let name = format!("claim_finish_shards/{count}");
+        cycle(criterion, &name, &keys, step, sharded);
+        println!("{} and {} keys held", memory.borrow().len(), shards.len());
     }
 }
 
+/// Fills a memory with half of the keys, then measures one key after another.
+fn cycle(
+    criterion: &mut Criterion,
+    name: &str,
+    keys: &[Key],
+    step: Duration,
+    act: impl Fn(&Key, Instant),
+) {
+    let mut now = Instant::now();
+    let mut next = keys.iter().cycle();
+    let mut turn = || {
+        now += step;
+        act(next.next().expect("a cycle"), now);
+    };
+    (0..keys.len() / 2).for_each(|_| turn());
+    criterion.bench_function(name, |bench| bench.iter(&mut turn));
+}
+
 /// Insertion and removal in the two layouts that were weighed for the facts of one shard.
 fn layout(criterion: &mut Criterion) {
     for count in [1000u64, 6250, 100_000] {
