Keep a cold target at what its contract states until it is warm

Cause: three tests were red. The ramp grew with the square of the answers, and a target that warms with its last answer was handed 4 to 6 requests too many (cold_until_warm). A gate that was closed while its domain was out stayed warm, and 21 requests met a full cold target at the return (domain_back). A target that ended and came back while idle went on as warm (idle_target).

A cold target gets cold_slots until warm_after answers, then one request more with each answer. Reopening after out puts the target on the ramp that ends after four answers at the usual speed; reopening after down is a cold start.

--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -227,8 +227,17 @@
     }
 
     /// Sets or clears one reason for taking no new work.
+    ///
+    /// A target that was closed got no work and may have turned cold meanwhile, as the targets of a
+    /// failure domain do that was out; one that was down may be a new process.
     pub fn set_state(&mut self, reason: Closed, holds: bool) {
+        let reopens = !holds && self.reasons.contains(reason);
         self.reasons.set(reason, holds);
+        match reason {
+            Closed::Out if reopens => self.ramp.rested(self.next_order),
+            Closed::Down if reopens => self.ramp.returned(self.next_order),
+            _ => {}
+        }
         if let Some(first) = self.reasons.first() {
             let actions = &mut self.actions;
             self.queue
--- a/crates/basilbay_admission/src/ramp.rs
+++ b/crates/basilbay_admission/src/ramp.rs
@@ -1,4 +1,5 @@
-//! Cold start: a cold target is handed little and, with each answer, a little more.
+//! Cold start: a cold target is handed what its contract says a cold one bears, and, once it has
+//! given enough answers to count as warm, one request more with each further answer.
 //!
 //! The ramp counts answers and not time, since a target warms by working: one that is given
 //! nothing stays cold however long it waits. Only answers of requests that were started on the
@@ -101,6 +102,8 @@
     climb: Option<Climb>,
     far: u32,
     reference: Option<Reference>,
+    /// Requests that a warm target is allowed so far; it grows by one with each answer.
+    opened: u32,
     /// Starts below it happened before the last broken connection that put the target back.
     alive_since: Order,
 }
@@ -115,6 +118,7 @@
             climb: None,
             far: 0,
             reference: None,
+            opened: 1,
             alive_since: 0,
         };
         ramp.climb = Some(Climb::new(origin, 0));
@@ -129,15 +133,10 @@
 
     /// Requests that may run.
     pub fn allowed(&self) -> u32 {
-        let Some(climb) = &self.climb else {
-            return self.slots;
-        };
-        let bottom = self.bottom(climb.origin);
-        let length = u128::from(self.length(climb.origin).max(1));
-        let progress = u128::from(climb.progress).min(length);
-        // The square keeps the ramp below that of a target that warms evenly with its answers.
-        let share = u128::from(self.slots - bottom) * progress * progress / (length * length);
-        bottom + share as u32
+        match &self.climb {
+            Some(climb) => self.bottom(climb),
+            None => self.opened.min(self.slots),
+        }
     }
 
     /// Takes the service time of warm siblings. Beside a target that was found running, an answer
@@ -163,6 +162,7 @@
         }
         if !profile.is_far_above(service) {
             self.far = 0;
+            self.opened = self.opened.saturating_add(1).min(self.slots);
             profile.note_warm(service);
             return false;
         }
@@ -185,6 +185,18 @@
         true
     }
 
+    /// Notes that the target may have turned cold unseen while it got no work.
+    pub fn rested(&mut self, next: Order) {
+        if self.climb.is_none() {
+            self.fall(Origin::Slow, next);
+        }
+    }
+
+    /// Notes that the target was away and is back; its process may be a new one.
+    pub fn returned(&mut self, next: Order) {
+        self.fall(Origin::Cold, next);
+    }
+
     fn advance(&mut self, answer: Answer, profile: &mut Profile) {
         let service = answer.service;
         let Some(climb) = &mut self.climb else {
@@ -222,6 +234,12 @@
         if done {
             self.climb = None;
             self.far = 0;
+            // A contract without a cold start opens at once.
+            self.opened = if self.warm_after == 0 {
+                self.slots
+            } else {
+                self.cold_slots
+            };
         }
         done
     }
@@ -237,10 +255,13 @@
         self.leave_when_done();
     }
 
-    fn bottom(&self, origin: Origin) -> u32 {
-        match origin {
-            Origin::Restart => RESTART_SLOTS,
-            Origin::Cold | Origin::Slow => self.cold_slots,
+    /// What a target on the ramp bears. The contract states it for the whole time until the target
+    /// is warm, so it does not grow before: a ramp that grew with the square of the progress
+    /// handed up to six requests too many to a target that warmed with its last answer.
+    fn bottom(&self, climb: &Climb) -> u32 {
+        match climb.origin {
+            Origin::Restart if climb.progress < self.slots => RESTART_SLOTS,
+            Origin::Cold | Origin::Slow | Origin::Restart => self.cold_slots,
         }
     }
 
