--- a/crates/basilbay_load/src/fleet/start.rs
+++ b/crates/basilbay_load/src/fleet/start.rs
@@ -239,7 +239,7 @@
             "[instance]\nid = {}\nservice = {}\ndomain = {}\ntarget = {}\n\n\
              [listen]\ncallers = {}\npeers = {}\nadmin = {}\n\n\
              [platform]\nconfig = {}\ninstances = {}\n\n\
-             [log]\nfilter = basilbay_daemon=debug\n",
+             [log]\nfilter = warn\n",
             member.id,
             member.service,
             member.domain,
