Never call a request not run after an attempt that may have run

A target that honours the deadline answers 504; the entry daemon tried the idempotent request elsewhere, the second target refused it as not run, and that refusal was passed on.

The attempts of a call remember whether any of them may have run, and a target's own answer is given to the caller when no other target does better.

--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -112,7 +112,7 @@
         call: daemon.next_call(),
         attempts,
         tried: Tried::default(),
-        may_have_run: false,
+        answer: None,
         last: None,
         body,
     };
@@ -143,9 +143,9 @@
     call: CallId,
     attempts: Attempts,
     tried: Tried,
-    /// Whether an attempt ended without saying that the request has not run.
-    may_have_run: bool,
-    last: Option<Reply>,
+    /// Answer of a target that could not serve, for when no other target does better.
+    answer: Option<Response<Body>>,
+    last: Option<Problem>,
     body: Received,
 }
 
@@ -158,34 +158,31 @@
             Reply::Problem(problem) if is_local(problem) => Some(problem.outcome),
             Reply::Problem(_) => None,
         };
-        if let Reply::Problem(problem) = &reply {
-            self.may_have_run |= problem.outcome == Outcome::Unknown;
-        }
         if matches!(&reply, Reply::Problem(problem) if problem.cause == Cause::NoCapacity) {
             self.tried.full.push(id);
         } else {
             self.tried.failed.push(id);
         }
-        self.last = Some(reply);
+        match reply {
+            Reply::Answer(response) => self.answer = Some(response),
+            Reply::Problem(problem) => self.last = Some(problem),
+        }
         let Some(outcome) = outcome else {
             return false;
         };
         self.body.is_kept() && self.attempts.again(outcome, budget, Instant::now())
     }
 
-    /// The last word to the caller.
-    ///
-    /// A refusal of the last attempt does not make the request "not run" if an earlier attempt
-    /// may have run.
+    /// The last word to the caller: an answer of a target if there is one.
     fn give_up(self, errand: &Errand) -> Reply {
-        match self.last {
-            Some(Reply::Problem(problem)) if self.may_have_run => Reply::Problem(Problem {
-                outcome: Outcome::Unknown,
-                ..problem
-            }),
-            Some(reply) => reply,
-            None => Reply::Problem(no_target(errand)),
+        if let Some(response) = self.answer {
+            return Reply::Answer(response);
         }
+        let problem = self.last.unwrap_or_else(|| no_target(errand));
+        Reply::Problem(Problem {
+            outcome: self.attempts.outcome(problem.outcome),
+            ..problem
+        })
     }
 }
 
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -103,6 +103,8 @@
     pub allowance: Allowance,
     /// Refusals so far.
     pub refusals: u8,
+    /// Whether an attempt ended without saying that the request has not run.
+    may_have_run: bool,
 }
 
 impl Attempts {
@@ -113,11 +115,23 @@
             deadline,
             allowance: Allowance::split(allowance),
             refusals: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// What the caller may be told after the last attempt ended with `last`: "not run" only if no
+    /// attempt may have run.
+    pub fn outcome(&self, last: Outcome) -> Outcome {
+        if self.may_have_run {
+            Outcome::Unknown
+        } else {
+            last
         }
     }
 
     /// Whether to try again after an attempt that ended with `outcome`.
     pub fn again(&mut self, outcome: Outcome, budget: &mut Budget, now: Instant) -> bool {
+        self.may_have_run |= outcome == Outcome::Unknown;
         if now >= self.deadline {
             return false;
         }
--- a/crates/basilbay_routing/tests/retry.rs
+++ b/crates/basilbay_routing/tests/retry.rs
@@ -81,6 +81,26 @@
         prop_assert!(f64::from(retries) <= bound, "{retries} > {bound}");
     }
 
+    /// Guards against "not run" for a request that an earlier attempt may have run: the target
+    /// answered 504 at the deadline, a second target refused, and the caller was told "not run".
+    #[test]
+    fn not_run_is_true(outcomes in prop::collection::vec(any::<bool>(), 1..8), idempotent: bool) {
+        let now = Instant::now();
+        let mut budget = Budget::new(100, now);
+        let mut attempts = Attempts::new(idempotent, now + Duration::from_secs(1), 3);
+        let mut ran = false;
+        for may_have_run in outcomes {
+            ran |= may_have_run;
+            let last = if may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+            let goes_on = attempts.again(last, &mut budget, now);
+            let told = attempts.outcome(last);
+            prop_assert_eq!(told == Outcome::NotRun, !ran);
+            if !goes_on {
+                break;
+            }
+        }
+    }
+
     /// Guards against attempts after the caller's time is up.
     #[test]
     fn deadline_holds(after_ms in 0_u64..1000, idempotent: bool) {
