Keep a golden file of a whole session

A reader, and a test, can now follow callers, operators and the daemons' events through one run: normal calls, keys, a service that operators take out, and a planned stop.

--- a/crates/basilbay_daemon/tests/limits.rs
+++ b/crates/basilbay_daemon/tests/limits.rs
@@ -104,7 +104,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cold_until_warm() {
     let fleet = cold().await;
-    assert!(flood(&fleet, 150).await > 0);
+    let call = Call::read().hop("desk", 5_000);
+    let peers = fleet.daemon("desk-1").peers;
+    // Ten short of what it takes to warm up.
+    for _ in 0..50 {
+        assert_eq!(call.reply(peers).await.status, 200);
+    }
+    join_all([(); 8].map(|()| call.reply(peers))).await;
     unbroken(&fleet);
 }
 
--- /dev/null
+++ b/crates/basilbay_daemon/tests/session.rs
@@ -0,0 +1,167 @@
+//! A whole session as a reader can follow it: callers, operators and the daemons' events.
+
+#[allow(dead_code)]
+#[path = "common/call.rs"]
+mod call;
+#[allow(dead_code)]
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use std::fmt::Write as _;
+
+use basilbay_client::{command, run};
+use basilbay_wire::header;
+use rustix::process::Signal;
+use serde_json::Value;
+
+use call::{Call, Reply};
+use fleet::{Fleet, Plan};
+
+/// Events that come and go with the timing of a busy machine.
+const TIMED: [u64; 4] = [103, 104, 205, 601];
+
+struct Session {
+    fleet: Fleet,
+    text: String,
+}
+
+impl Session {
+    fn note(&mut self, line: &str) {
+        let _ = writeln!(self.text, "{line}");
+    }
+
+    /// Runs a command of the operators' client.
+    async fn operator(&mut self, line: &str) {
+        self.note(&format!("\n$ basilbay {line}"));
+        let daemon = self.fleet.daemon("shop-1").admin.to_string();
+        let words = line.split(' ').chain(["--daemon", &daemon]);
+        let words: Vec<String> = ["basilbay"]
+            .into_iter()
+            .chain(words)
+            .map(str::to_owned)
+            .collect();
+        let output = tokio::task::spawn_blocking(move || {
+            let matches = command::build()
+                .try_get_matches_from(words)
+                .expect("a command");
+            run::run(&matches).expect("an output")
+        });
+        let output = output.await.expect("it ends");
+        self.text += &masked(&output.text);
+        self.text += &masked(&output.errors);
+        self.note(&format!("exit code {}", output.code as u8));
+    }
+
+    /// Sends a call through the shop's daemon.
+    async fn caller(&mut self, what: &str, call: Call) -> Reply {
+        let reply = call.id("r1").reply(self.fleet.entry("shop-1")).await;
+        self.note(&format!("\n> {what}\n< {}", reply.status));
+        for name in [
+            "content-type",
+            header::OUTCOME,
+            header::REPLAYED,
+            "retry-after",
+        ] {
+            if let Some(value) = reply.headers.get(name) {
+                self.note(&format!("< {name}: {}", value.to_str().unwrap_or("?")));
+            }
+        }
+        let body = String::from_utf8_lossy(&reply.body).into_owned();
+        self.note(&format!("< {body}"));
+        reply
+    }
+
+    /// Lists the events of a daemon, each once, by number: their order depends on who is first.
+    fn events(&mut self, id: &str) {
+        let log = self.fleet.log(id);
+        let lines = log
+            .lines()
+            .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let events = lines.filter_map(|line| {
+            let fields = &line["fields"];
+            let number = fields["event"].as_u64().filter(|it| !TIMED.contains(it))?;
+            Some(format!(
+                "{number} {}",
+                fields["name"].as_str().unwrap_or("?")
+            ))
+        });
+        let mut events: Vec<String> = events.collect();
+        events.sort();
+        events.dedup();
+        self.note(&format!("\nevents of {id}: {}", events.join(", ")));
+    }
+}
+
+/// Puts `N` in place of each number of a table that is not part of a name, and narrows the columns.
+fn masked(text: &str) -> String {
+    let mut masked = String::new();
+    for line in text.lines() {
+        let words = line.split_whitespace().map(|word| {
+            let is_name = word.starts_with(|first: char| first.is_ascii_alphabetic());
+            let has_number = word.contains(|each: char| each.is_ascii_digit());
+            if has_number && !is_name { "N" } else { word }
+        });
+        let words: Vec<&str> = words.collect();
+        let _ = writeln!(masked, "{}", words.join(" "));
+    }
+    masked
+}
+
+/// Guards against changes of what callers and operators see that nobody meant.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_session() {
+    let fleet = Fleet::start(Plan::new(&[("desk", 1), ("shop", 1)])).await;
+    fleet.wait_until_keyed().await;
+    let text = String::new();
+    let mut session = Session { fleet, text };
+    session.operator("status").await;
+    session.operator("explain desk /read").await;
+    session.caller("GET desk /read", Call::read()).await;
+    let late = Call::read().timeout_ms(0);
+    session
+        .caller("GET desk /read, with no time left", late)
+        .await;
+    session
+        .caller(
+            "GET desk /nothing",
+            Call::new(http::Method::GET, "/nothing"),
+        )
+        .await;
+    let key = uuid::Uuid::now_v7().to_string();
+    let pay = Call::write("one coat").key(&key);
+    session
+        .caller("POST desk /write, with a key", pay.clone())
+        .await;
+    session
+        .caller("POST desk /write, with the same key", pay.clone())
+        .await;
+    let other = Call::write("two coats").key(&key);
+    session
+        .caller(
+            "POST desk /write, with the same key and another body",
+            other,
+        )
+        .await;
+
+    session.note("\nThe platform publishes version 2, with the service desk out.");
+    let config = session.fleet.plan.config(2);
+    let config = config.replace("[service desk]\nstate = in", "[service desk]\nstate = out");
+    session.fleet.platform.publish(&config).expect("a version");
+    session.operator("wait --version 2").await;
+    session.fleet.wait_until_state("desk-1", "out").await;
+    session.operator("status --service desk").await;
+    session.caller("GET desk /read", Call::read()).await;
+    session
+        .caller("POST desk /write, with the key of before", pay)
+        .await;
+
+    session.operator("explain desk /read").await;
+
+    session.note("\nThe daemon of shop-1 is asked to stop.");
+    session.fleet.signal("shop-1", Signal::TERM);
+    let status = session.fleet.ended("shop-1").await;
+    session.note(&format!("exit code {}", status.code().unwrap_or(-1)));
+    session.events("desk-1");
+    session.events("shop-1");
+    insta::assert_snapshot!(session.text);
+}
