--- a/crates/basilbay_load/src/latency.rs
+++ b/crates/basilbay_load/src/latency.rs
@@ -8,7 +8,6 @@
 mod straight;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use basilbay_fakes::targets::answer;
@@ -21,27 +20,36 @@
 
 use crate::account::row::{Latency, histogram};
 use crate::client::door::Door;
-use crate::deployment::Deployment;
+use crate::deployment::{Deployment, Row};
 use crate::fleet::Fleet;
 use crate::table;
 
 /// Result of a measurement.
 pub type Result<T> = anyhow::Result<T>;
 
-/// Service of the measurement.
-const SERVICE: &str = "echo";
-
-/// Targets and daemons.
-const WORKERS: usize = 4;
+/// Services, each with one target, so that no chain needs a target twice.
+const SERVICES: usize = 12;
 
 /// Time from one pair of calls to the next.
 const PAUSE: Duration = Duration::from_millis(4);
 
+/// Calls to each service before the measurement: enough that its target counts as warm.
+const WARM_UP_CALLS: usize = 50;
+
+/// Pairs of calls before the first one that counts.
+const DISCARDED: usize = 3 * SERVICES;
+
 /// Depths of the measured chains.
 pub const DEPTHS: [usize; 3] = [1, 4, 12];
 
-const TEXT: &str = "[basilbay]\nversion = 1\n\n[domain d1]\n\n[domain d2]\n\n[service echo]\n\
-                    connections = 200\n\n[kind echo/call]\npath = /\nidempotent = yes\n";
+/// Head of the configuration; the services follow.
+const HEAD: &str = "[basilbay]
+version = 1
+
+[domain d1]
+
+[domain d2]
+";
 
 /// Latencies of one depth, in ms.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -114,15 +122,31 @@
     ]
 }
 
-/// A deployment of targets that answer at once.
+/// Id of a service.
+fn service(index: usize) -> String {
+    format!("s{:02}", index + 1)
+}
+
+/// A deployment of targets that answer at once, in as many services as the longest chain.
 pub fn deployment() -> Result<Deployment> {
-    Deployment::new("latency", TEXT, &[(SERVICE, WORKERS, &[("call", 1.0, 0)])])
+    let mut text = HEAD.to_owned();
+    let names: Vec<String> = (0..SERVICES).map(service).collect();
+    for name in &names {
+        text.push_str(&format!(
+            "\n[service {name}]\nconnections = 200\nwarm_after = 20\n\n\
+             [kind {name}/call]\npath = /\nidempotent = yes\n"
+        ));
+    }
+    let kinds = [("call", 1.0, 0)];
+    let rows: Vec<Row<'_>> = names.iter().map(|name| (&**name, 1, &kinds[..])).collect();
+    Deployment::new("latency", &text, &rows)
 }
 
 /// Measures added latency for some seconds a depth, and the cost of a daemon if asked for.
 pub async fn run(seconds: f64, depths: &[usize], with_cost: bool) -> Result<Report> {
     let mut fleet = Fleet::start(deployment()?).await?;
-    let line = straight::Line::start(WORKERS, SERVICE)?;
+    let line = straight::Line::start(SERVICES, fleet.deployment.open_delay)?;
+    warm_up(&fleet).await?;
     let mut pairs = Vec::new();
     for depth in depths {
         eprintln!("  chains of {depth}: {seconds} s");
@@ -137,24 +161,35 @@
     Ok(Report { pairs, costs })
 }
 
+/// Takes all daemons' ramps to the top.
+async fn warm_up(fleet: &Fleet) -> Result<()> {
+    for (index, door) in doors(&fleet.entries()).await?.iter().enumerate() {
+        for _ in 0..WARM_UP_CALLS {
+            call(door, &service(index), "").await?;
+        }
+    }
+    Ok(())
+}
+
 /// Alternates between the two ways, over one connection to each daemon and target.
 async fn pair(fleet: &Fleet, line: &straight::Line, depth: usize, seconds: f64) -> Result<Pair> {
     let through = doors(&fleet.entries()).await?;
     let straight = doors(&line.addresses).await?;
-    let chain = vec![SERVICE; depth.saturating_sub(1)].join(",");
-    let chain = Arc::<str>::from(chain);
+    let rest: Vec<String> = (1..depth).map(service).collect();
+    let chain = rest.join(",");
+    let first = service(0);
     let mut histograms = [histogram(), histogram()];
     let until = Instant::now() + Duration::from_secs_f64(seconds);
     let mut number = 0;
     while Instant::now() < until {
-        let index = number % WORKERS;
-        let ways = [&straight[index], &through[index]];
+        // The daemon of the target and the others in turn: callers use any.
+        let ways = [&straight[0], &through[number % SERVICES]];
         for turn in 0..2 {
             // The order changes, so that neither way always finds the caches warm.
-            let way = (turn + number / WORKERS) % 2;
-            let took = call(ways[way], &chain).await?;
+            let way = (turn + number / SERVICES) % 2;
+            let took = call(ways[way], &first, &chain).await?;
             // Connections, pools and load figures settle during the first calls.
-            let counted = histograms[way].as_mut().filter(|_| number >= 10 * WORKERS);
+            let counted = histograms[way].as_mut().filter(|_| number >= DISCARDED);
             if let Some(histogram) = counted {
                 histogram.saturating_record(took.as_micros() as u64);
             }
@@ -184,11 +219,11 @@
 }
 
 /// One call; the time ends with the last byte of the answer.
-pub(crate) async fn call(door: &Door, chain: &str) -> Result<Duration> {
+pub(crate) async fn call(door: &Door, service: &str, chain: &str) -> Result<Duration> {
     let mut builder = Request::builder()
         .method("GET")
         .uri("/")
-        .header(HOST, SERVICE)
+        .header(HOST, service)
         .header(answer::REQUEST_ID, "latency");
     if !chain.is_empty() {
         builder = builder.header(answer::CHAIN, chain);
--- a/crates/basilbay_load/tests/plan.rs
+++ b/crates/basilbay_load/tests/plan.rs
@@ -6,7 +6,7 @@
 use basilbay_load::plan::{Plan, Step, Stream};
 
 fn one_stream(rate: f64) -> Vec<Stream> {
-    let deployment = Deployment::named("caroni").unwrap();
+    let deployment = Deployment::named("caroni").expect("works");
     let mut streams = Stream::of(&deployment, 1.0, 0.5);
     streams.truncate(1);
     streams[0].rate = rate;
@@ -64,10 +64,10 @@
 /// Guards against a capacity that is not workers times slots by mean service time.
 #[test]
 fn known_capacity() {
-    let deployment = Deployment::named("caroni").unwrap();
+    let deployment = Deployment::named("caroni").expect("works");
     let mean = 0.050 * (0.4_f64 * 0.4 / 2.0).exp();
     let expected = 6.0 * 18.0 / mean;
     assert!((deployment.capacity("fitfinder") - expected).abs() < 1e-6);
-    let half = deployment.with_slots(9).unwrap();
+    let half = deployment.with_slots(9).expect("works");
     assert!((half.capacity("fitfinder") - expected / 2.0).abs() < 1e-6);
 }
