Record suspects of every crash before siblings are asked

A crash went unrecorded where the daemon found the port closed before the broken request was looked at, or the port still open while the connections closed; and resends overtook the warnings.

--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -24,6 +24,13 @@
 /// Time in which a running target accepts a connection on its own instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time that the warnings of a crash get to reach the siblings before a request that was on the
+/// target is answered, and so may be sent to one of them.
+const WARNING_LEAD: Duration = Duration::from_millis(25);
+
+/// Time until a target that seems to have survived a broken connection is looked at again.
+const SECOND_LOOK: Duration = Duration::from_millis(10);
+
 /// Time between two looks at the measuring budget.
 const BUDGET_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -52,13 +59,19 @@
         if self.is_down.load(Ordering::Acquire) {
             return;
         }
-        let answers = accepts(daemon).await && daemon.pool.open() > 0;
-        if answers {
-            return;
+        if answers(daemon).await {
+            // A process that dies closes its connections and its port one after the other.
+            tokio::time::sleep(SECOND_LOOK).await;
+            if answers(daemon).await {
+                return;
+            }
         }
         let now = Instant::now();
         self.set_down(daemon, true);
         daemon.suspects.crashed(daemon, &in_flight, now);
+        if !in_flight.is_empty() {
+            tokio::time::sleep(WARNING_LEAD).await;
+        }
     }
 
     fn set_down(&self, daemon: &Arc<Daemon>, is_down: bool) {
@@ -77,6 +90,10 @@
     }
 }
 
+async fn answers(daemon: &Daemon) -> bool {
+    accepts(daemon).await && daemon.pool.open() > 0
+}
+
 async fn accepts(daemon: &Daemon) -> bool {
     let connecting = TcpStream::connect(daemon.settings.target);
     matches!(
@@ -104,8 +121,11 @@
         if daemon.pool.open() == 0 {
             daemon.pool.clear();
         }
-        let is_up = daemon.pool.fill().await.is_ok();
-        daemon.health.set_down(&daemon, !is_up);
+        match daemon.pool.fill().await {
+            Ok(()) => daemon.health.set_down(&daemon, false),
+            // May be noticed before any broken request is, whose suspects must not be lost.
+            Err(_) => daemon.health.judge(&daemon).await,
+        }
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
