Note suspects when the end of a target shows before a request breaks

Cause: since kept connections are dropped once none is open, the daemon may find its target gone before the first broken request is judged.

Change: both ways take down the requests that are on the target, under the same lock, and a target that accepts connections is not down.

--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -56,9 +56,29 @@
         if answers {
             return;
         }
-        let now = Instant::now();
+        self.note_crash(daemon, &in_flight);
+    }
+
+    /// Notes whether connections to the target could be opened.
+    ///
+    /// This may be noticed before the first broken request is; the requests that are on the target
+    /// are taken down here as well, since those that break later find the crash noted already.
+    async fn note(&self, daemon: &Arc<Daemon>, is_up: bool) {
+        let _first = self.judging.lock().await;
+        if is_up {
+            self.set_down(daemon, false);
+            return;
+        }
+        let in_flight = daemon.admission.running();
+        if self.is_down.load(Ordering::Acquire) || accepts(daemon).await {
+            return;
+        }
+        self.note_crash(daemon, &in_flight);
+    }
+
+    fn note_crash(&self, daemon: &Arc<Daemon>, in_flight: &[u64]) {
         self.set_down(daemon, true);
-        daemon.suspects.crashed(daemon, &in_flight, now);
+        daemon.suspects.crashed(daemon, in_flight, Instant::now());
     }
 
     fn set_down(&self, daemon: &Arc<Daemon>, is_down: bool) {
@@ -105,7 +125,7 @@
             daemon.pool.clear();
         }
         let is_up = daemon.pool.fill().await.is_ok();
-        daemon.health.set_down(&daemon, !is_up);
+        daemon.health.note(&daemon, is_up).await;
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
