--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -66,7 +66,7 @@
                 return;
             }
         }
-        self.note_crash(daemon, &in_flight);
+        self.note_crash(daemon, &in_flight).await;
     }
 
     /// Notes whether connections to the target could be opened.
@@ -83,19 +83,15 @@
         if self.is_down.load(Ordering::Acquire) || accepts(daemon).await {
             return;
         }
-        self.note_crash(daemon, &in_flight);
+        self.note_crash(daemon, &in_flight).await;
     }
 
-    fn note_crash(&self, daemon: &Arc<Daemon>, in_flight: &[u64]) {
+    async fn note_crash(&self, daemon: &Arc<Daemon>, in_flight: &[u64]) {
         self.set_down(daemon, true);
-<<<<<<< HEAD
-        daemon.suspects.crashed(daemon, &in_flight, now);
+        daemon.suspects.crashed(daemon, in_flight, Instant::now());
         if !in_flight.is_empty() {
             tokio::time::sleep(WARNING_LEAD).await;
         }
-=======
-        daemon.suspects.crashed(daemon, in_flight, Instant::now());
->>>>>>> fleet
     }
 
     fn set_down(&self, daemon: &Arc<Daemon>, is_down: bool) {
@@ -145,16 +141,8 @@
         if daemon.pool.open() == 0 {
             daemon.pool.clear();
         }
-<<<<<<< HEAD
-        match daemon.pool.fill().await {
-            Ok(()) => daemon.health.set_down(&daemon, false),
-            // May be noticed before any broken request is, whose suspects must not be lost.
-            Err(_) => daemon.health.judge(&daemon).await,
-        }
-=======
         let is_up = daemon.pool.fill().await.is_ok();
         daemon.health.note(&daemon, is_up).await;
->>>>>>> fleet
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
