Write a report with plots of policies and of a domain's move

Figures of single percentiles do not show how long a domain's move disturbs callers, or at which percentile the policies part. basilbay-load report runs both and writes an HTML page with SVG plots (library plotters, SVG backend only) beside their tables. compare also prints the p99 of each policy as a multiple of that of the ideal queue, and which rules were broken.

--- a/crates/basilbay_load/src/command.rs
+++ b/crates/basilbay_load/src/command.rs
@@ -10,7 +10,7 @@
 
 use crate::compare::{self, Contest, POLICIES};
 use crate::scenario::{Scenario, catalogue};
-use crate::{demo, latency, quick, table};
+use crate::{demo, latency, quick, report, table};
 
 /// Threads of the runtime that sends the requests.
 const THREADS: usize = 4;
@@ -72,6 +72,25 @@
                 )
                 .arg(json()),
         )
+        .subcommand(
+            Command::new("report")
+                .about("Writes an HTML page with plots of the policies and of a domain's move")
+                .arg(
+                    Arg::new("deployment")
+                        .long("deployment")
+                        .value_parser(["caroni", "ozolini"])
+                        .default_value("caroni")
+                        .help("Whose sizes to use"),
+                )
+                .arg(
+                    Arg::new("out")
+                        .long("out")
+                        .value_name("DIR")
+                        .value_parser(value_parser!(PathBuf))
+                        .default_value("report")
+                        .help("Folder for the page and its plots"),
+                ),
+        )
         .subcommand(
             Command::new("quick")
                 .about("Measures everything that matters in under 50 seconds")
@@ -128,6 +147,7 @@
         Some(("run", matches)) => run_scenario(matches).await,
         Some(("compare", matches)) => run_compare(matches).await,
         Some(("latency", matches)) => run_latency(matches).await,
+        Some(("report", matches)) => run_report(matches).await,
         Some(("quick", matches)) => run_quick(matches).await,
         _ => anyhow::bail!("unknown command"),
     }
@@ -214,6 +234,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn run_report(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let folder = matches
+        .get_one::<PathBuf>("out")
+        .context("out is missing")?;
+    let deployment = word(matches, "deployment")?;
+    let violations = report::run(deployment, folder).await?;
+    println!("{}", folder.join(report::PAGE).display());
+    Ok(code(violations == 0))
+}
+
 async fn run_quick(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
     let quick = quick::run().await?;
     println!("{}", quick.text());
--- a/crates/basilbay_load/src/compare.rs
+++ b/crates/basilbay_load/src/compare.rs
@@ -8,9 +8,12 @@
 use basilbay_fakes::targets::fault::{Change, Noise};
 use serde::{Deserialize, Serialize};
 
-use crate::account::row::Latency;
+use crate::account::classify;
+use crate::account::row::{Class, Latency};
+use crate::client::record::Record;
 use crate::client::{Crowd, Settings};
 use crate::fleet::Fleet;
+use crate::plan::Plan;
 use crate::scenario::Scenario;
 use crate::{ideal, table, trial};
 
@@ -26,6 +29,22 @@
     "basilbay",
 ];
 
+/// Name of the series of the ideal queue.
+pub const IDEAL: &str = "ideal queue";
+
+/// Columns of a comparison; "of ideal" is the p99 as a multiple of that of the ideal queue.
+pub const HEADER: [&str; 9] = [
+    "policy",
+    "p50 ms",
+    "p95 ms",
+    "p99 ms",
+    "p99 spread",
+    "of ideal",
+    "p99.9 ms",
+    "weighted",
+    "violations",
+];
+
 /// Time that a published policy has to reach all daemons before the load starts.
 const IN_FORCE: Duration = Duration::from_millis(1_000);
 
@@ -55,16 +74,21 @@
     pub violations: u64,
     /// Worst p99 of the arrivals' lag, in us.
     pub lag_p99_us: u64,
+    /// Latencies of all rounds in ms, without those of refused requests; only kept in memory.
+    #[serde(skip)]
+    pub samples: Vec<f64>,
 }
 
 impl Series {
-    fn new(policy: &str) -> Self {
+    /// A series without rounds.
+    pub fn new(policy: &str) -> Self {
         Self {
             policy: policy.to_owned(),
             rounds: Vec::new(),
             goodput: Vec::new(),
             violations: 0,
             lag_p99_us: 0,
+            samples: Vec::new(),
         }
     }
 
@@ -98,24 +122,28 @@
         Some(own / other)
     }
 
-    /// The table for the screen; spread is lowest to highest of the rounds.
+    /// Median p99 of a policy as a multiple of that of the ideal queue.
+    pub fn of_ideal(&self, policy: &str) -> Option<f64> {
+        let own = self.series(policy)?.median(|latency| latency.p99);
+        let ideal = self.series(IDEAL)?.median(|latency| latency.p99);
+        Some(own / ideal)
+    }
+
+    /// One row for each series; spread is lowest to highest of the rounds.
+    pub fn rows(&self) -> Vec<Vec<String>> {
+        let series = self.series.iter();
+        series
+            .map(|series| line(series, self.of_ideal(&series.policy)))
+            .collect()
+    }
+
+    /// The table for the screen.
     pub fn table(&self) -> String {
-        let header = [
-            "policy",
-            "p50 ms",
-            "p95 ms",
-            "p99 ms",
-            "p99 spread",
-            "p99.9 ms",
-            "weighted",
-            "violations",
-        ];
-        let rows: Vec<Vec<String>> = self.series.iter().map(line).collect();
-        table::lay_out(&header, &rows)
+        table::lay_out(&HEADER, &self.rows())
     }
 }
 
-fn line(series: &Series) -> Vec<String> {
+fn line(series: &Series, of_ideal: Option<f64>) -> Vec<String> {
     let p99 = series.rounds.iter().map(|latency| latency.p99);
     let lowest = p99.clone().fold(f64::INFINITY, f64::min);
     let highest = p99.fold(0.0, f64::max);
@@ -126,6 +154,7 @@
         table::ms(series.median(|latency| latency.p95)),
         table::ms(series.median(|latency| latency.p99)),
         format!("{lowest:.1}-{highest:.1}"),
+        format!("{:.2}", of_ideal.unwrap_or(f64::NAN)),
         table::ms(series.median(|latency| latency.p999)),
         format!("{:.2}%", goodput * 100.0),
         series.violations.to_string(),
@@ -138,7 +167,7 @@
     let mut fleet = Fleet::start(deployment.clone()).await?;
     let mut crowd = Crowd::connect(Settings::new("compare"), &fleet.entries()).await?;
     trial::warm_up(&mut fleet, &mut crowd).await?;
-    let mut bound = Series::new("ideal queue");
+    let mut bound = Series::new(IDEAL);
     let mut series: Vec<Series> = contest
         .policies
         .iter()
@@ -148,9 +177,10 @@
     for round in 0..contest.rounds {
         let plan = contest.scenario.plan(&deployment, round)?;
         rate = plan.arrivals.len() as f64 / plan.duration.as_secs_f64();
-        bound
-            .rounds
-            .push(percentiles(&ideal::bound(&deployment, &plan, round + 1)));
+        let waits = ideal::bound(&deployment, &plan, round + 1);
+        bound.rounds.push(percentiles(&waits));
+        let in_ms = waits.iter().map(|wait| wait.as_secs_f64() * 1000.0);
+        bound.samples.extend(in_ms);
         bound.goodput.push(1.0);
         let count = series.len();
         for turn in 0..count {
@@ -168,6 +198,10 @@
                 series.policy,
                 account.all.latency.p99
             );
+            if account.breaches.total() > 0 {
+                eprintln!("{}", table::breaches(&account));
+            }
+            series.samples.extend(samples(&plan, &trial.records));
             series.rounds.push(account.all.latency);
             series.goodput.push(account.all.goodput());
             series.violations += account.breaches.total();
@@ -179,6 +213,17 @@
     Ok(Comparison { series, rate })
 }
 
+/// Latencies in ms; a refused request has none.
+fn samples(plan: &Plan, records: &[Record]) -> Vec<f64> {
+    let counted = records.iter().filter(|record| {
+        let class = classify(record, &plan.streams[record.stream]);
+        class != Class::Refused
+    });
+    counted
+        .map(|record| record.took_us as f64 / 1000.0)
+        .collect()
+}
+
 async fn publish(fleet: &mut Fleet, policy: &str) -> Result<()> {
     let staff = fleet.deployment.staff.iter();
     let sections: Vec<String> = staff
--- a/crates/basilbay_load/src/lib.rs
+++ b/crates/basilbay_load/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod latency;
 pub mod plan;
 pub mod quick;
+pub mod report;
 pub mod scenario;
 pub mod table;
 pub mod trial;
--- /dev/null
+++ b/crates/basilbay_load/src/report.rs
@@ -0,0 +1,88 @@
+//! `report`: an HTML page with plots of the policies under noise and of a domain's move.
+//!
+//! [`series`] turns records and runs into points, [`plot`] draws them as SVG, and [`page`] sets
+//! them beside their tables. None of these three needs a fleet.
+
+pub mod page;
+pub mod plot;
+pub mod series;
+
+use std::path::Path;
+use std::sync::Arc;
+
+use anyhow::Context;
+
+use crate::compare::{self, Contest, POLICIES};
+use crate::quick;
+use crate::scenario::Scenario;
+use page::Page;
+use series::Story;
+
+/// Result of writing a report.
+pub type Result<T> = anyhow::Result<T>;
+
+/// File name of the page.
+pub const PAGE: &str = "report.html";
+
+/// Slots of a worker while the domain moves; half of Caroni's, so that it needs fewer calls.
+const SLOTS: u32 = 9;
+
+/// Length of the load of each policy; all five must fit into two minutes with the domain's move.
+const COMPARE_SECONDS: f64 = 6.0;
+
+/// Runs everything, writes the page and its plots, and returns the broken rules.
+pub async fn run(deployment: &str, folder: &Path) -> Result<u64> {
+    std::fs::create_dir_all(folder)
+        .with_context(|| format!("cannot create {}", folder.display()))?;
+    let story = domain(deployment).await?;
+    let mut noisy = Scenario::find("noisy")?;
+    noisy.deployment = Arc::from(deployment);
+    noisy.seconds = COMPARE_SECONDS;
+    let contest = Contest {
+        noise: quick::noise(&noisy),
+        scenario: noisy,
+        policies: POLICIES.to_vec(),
+        rounds: 1,
+    };
+    eprintln!("policies side by side");
+    let comparison = compare::run(&contest).await?;
+    let page = Page::new(deployment, &comparison, &story)?;
+    for (name, svg) in &page.plots {
+        write(&folder.join(name), svg)?;
+    }
+    write(&folder.join(PAGE), &page.html)?;
+    let policies = comparison.series.iter().map(|series| series.violations);
+    Ok(policies.sum::<u64>() + story.account.breaches.total())
+}
+
+fn write(path: &Path, text: &str) -> Result<()> {
+    std::fs::write(path, text).with_context(|| format!("cannot write {}", path.display()))
+}
+
+/// Runs the scenario in which a failure domain leaves and returns.
+async fn domain(deployment: &str) -> Result<Story> {
+    let name = match deployment {
+        "ozolini" => "domain-ozolini",
+        _ => "domain",
+    };
+    let mut scenario = Scenario::find(name)?;
+    scenario.slots = Some(SLOTS);
+    eprintln!("scenario {name}: {} s", scenario.seconds);
+    let (mut fleet, mut crowd) = scenario.prepare(None).await?;
+    let plan = scenario.plan(&fleet.deployment, 0)?;
+    let (trial, _) = scenario.run_on(&mut fleet, &mut crowd, 0).await?;
+    let members = fleet.members.iter();
+    let domains = members.map(|member| (member.target.clone(), member.domain.clone()));
+    let story = Story {
+        streams: plan.streams,
+        seconds: scenario.seconds,
+        records: trial.records,
+        runs: trial.runs,
+        events: trial.events,
+        account: trial.account,
+        domains: domains.collect(),
+    };
+    drop(crowd);
+    fleet.stop();
+    Ok(story)
+}
--- /dev/null
+++ b/crates/basilbay_load/src/report/plot.rs
@@ -0,0 +1,206 @@
+//! Line plots as SVG text.
+
+use std::ops::Range;
+
+use anyhow::anyhow;
+use plotters::coord::ranged1d::{DefaultFormatting, KeyPointHint};
+use plotters::coord::types::RangedCoordf64;
+use plotters::prelude::*;
+
+use super::Result;
+use super::series::Points;
+
+/// Size of a plot in pixels.
+const SIZE: (u32, u32) = (900, 400);
+
+/// Space above the highest point for the legend and the names of marks.
+const HEADROOM: f64 = 1.3;
+
+/// Space on the right, in pixels, for half of the last tick's text.
+const RIGHT_MARGIN: u32 = 32;
+
+const FONT: &str = "sans-serif";
+
+/// Colours that stay apart for colour-blind readers (Okabe and Ito).
+const COLOURS: [RGBColor; 7] = [
+    RGBColor(0, 114, 178),
+    RGBColor(213, 94, 0),
+    RGBColor(0, 158, 115),
+    RGBColor(204, 121, 167),
+    RGBColor(230, 159, 0),
+    RGBColor(86, 180, 233),
+    RGBColor(0, 0, 0),
+];
+
+/// One line.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Name in the legend; lines without one share the colour of a line that has one.
+    pub name: Option<String>,
+    /// Index of the colour.
+    pub colour: usize,
+    /// Points.
+    pub points: Points,
+}
+
+/// An axis.
+#[derive(Clone, Debug)]
+pub struct Axis {
+    /// What it shows, with the unit.
+    pub label: &'static str,
+    /// Where it starts and ends.
+    pub range: (f64, f64),
+    /// Places with a number, and the number as text.
+    pub ticks: Vec<(f64, String)>,
+}
+
+/// A plot.
+#[derive(Clone, Debug)]
+pub struct Chart {
+    /// Heading.
+    pub title: String,
+    /// Horizontal axis.
+    pub x: Axis,
+    /// Vertical axis; its ticks are chosen by the library.
+    pub y: Axis,
+    /// Lines.
+    pub lines: Vec<Line>,
+    /// Times with a vertical line and its name.
+    pub marks: Vec<(f64, String)>,
+    /// Whether the legend is on the left.
+    pub legend_left: bool,
+}
+
+impl Axis {
+    /// Time in seconds.
+    pub fn time(seconds: f64) -> Self {
+        let ticks = (0..=seconds as u32).map(|second| (f64::from(second), second.to_string()));
+        Self {
+            label: "time in s",
+            range: (0.0, seconds),
+            ticks: ticks.collect(),
+        }
+    }
+
+    /// A vertical axis from zero with room above all lines.
+    pub fn above(label: &'static str, lines: &[Line]) -> Self {
+        let points = lines.iter().flat_map(|line| &line.points);
+        let highest = points.map(|(_, value)| *value).fold(0.0, f64::max);
+        Self {
+            label,
+            range: (0.0, highest.max(f64::MIN_POSITIVE) * HEADROOM),
+            ticks: Vec::new(),
+        }
+    }
+
+    fn text(&self, place: f64) -> String {
+        let mut ticks = self.ticks.iter();
+        let tick = ticks.find(|(at, _)| (at - place).abs() < 1e-9);
+        tick.map_or_else(String::new, |(_, text)| text.clone())
+    }
+}
+
+/// A linear axis with given ticks: the library's own combinator lacks a formatter for floats.
+struct Ruler {
+    inner: RangedCoordf64,
+    ticks: Vec<f64>,
+}
+
+impl Ranged for Ruler {
+    type FormatOption = DefaultFormatting;
+    type ValueType = f64;
+
+    fn map(&self, value: &f64, limit: (i32, i32)) -> i32 {
+        self.inner.map(value, limit)
+    }
+
+    fn key_points<Hint: KeyPointHint>(&self, _hint: Hint) -> Vec<f64> {
+        self.ticks.clone()
+    }
+
+    fn range(&self) -> Range<f64> {
+        self.inner.range()
+    }
+}
+
+fn colour(index: usize) -> RGBColor {
+    COLOURS[index % COLOURS.len()]
+}
+
+/// Draws a plot.
+pub fn draw(chart: &Chart) -> Result<String> {
+    let mut svg = String::new();
+    // The library's error borrows the text that it draws to.
+    paint(chart, &mut svg).map_err(|error| anyhow!("plot '{}': {error}", chart.title))?;
+    Ok(svg)
+}
+
+fn paint(chart: &Chart, svg: &mut String) -> std::result::Result<(), String> {
+    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    root.fill(&WHITE).map_err(text)?;
+    let (left, right) = chart.x.range;
+    let (bottom, top) = chart.y.range;
+    let ruler = Ruler {
+        inner: (left..right).into(),
+        ticks: chart.x.ticks.iter().map(|(place, _)| *place).collect(),
+    };
+    let mut context = ChartBuilder::on(&root)
+        .caption(&chart.title, (FONT, 18))
+        .margin(10)
+        .margin_right(RIGHT_MARGIN)
+        .x_label_area_size(45)
+        .y_label_area_size(65)
+        .build_cartesian_2d(ruler, bottom..top)
+        .map_err(text)?;
+    context
+        .configure_mesh()
+        .light_line_style(TRANSPARENT)
+        .bold_line_style(BLACK.mix(0.12))
+        .x_label_formatter(&|place| chart.x.text(*place))
+        .x_desc(chart.x.label)
+        .y_desc(chart.y.label)
+        .label_style((FONT, 13))
+        .axis_desc_style((FONT, 14))
+        .draw()
+        .map_err(text)?;
+    for (at, name) in &chart.marks {
+        let line = [(*at, bottom), (*at, top)];
+        let style = BLACK.mix(0.6);
+        context
+            .draw_series(std::iter::once(PathElement::new(line, style)))
+            .map_err(text)?;
+        let place = (*at + (right - left) * 0.005, top);
+        let label = Text::new(format!(" {name}"), place, (FONT, 13));
+        context.draw_series(std::iter::once(label)).map_err(text)?;
+    }
+    for line in &chart.lines {
+        let style = colour(line.colour).stroke_width(2);
+        let drawn = context
+            .draw_series(LineSeries::new(line.points.iter().copied(), style))
+            .map_err(text)?;
+        if let Some(name) = &line.name {
+            drawn
+                .label(name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], style));
+        }
+    }
+    if chart.lines.iter().any(|line| line.name.is_some()) {
+        let position = match chart.legend_left {
+            true => SeriesLabelPosition::UpperLeft,
+            false => SeriesLabelPosition::UpperRight,
+        };
+        context
+            .configure_series_labels()
+            .position(position)
+            .background_style(WHITE.mix(0.85))
+            .border_style(BLACK.mix(0.3))
+            .label_font((FONT, 13))
+            .draw()
+            .map_err(text)?;
+    }
+    root.present().map_err(text)
+}
+
+fn text(error: impl std::fmt::Display) -> String {
+    error.to_string()
+}
--- /dev/null
+++ b/crates/basilbay_load/src/report/series.rs
@@ -0,0 +1,185 @@
+//! Points of the plots, from records and runs.
+
+use std::ops::Range;
+
+use basilbay_fakes::targets::account::Run;
+use basilbay_model::id::{DomainId, InstanceId};
+
+use crate::account::row::Class;
+use crate::account::{Account, classify};
+use crate::client::record::Record;
+use crate::fleet::event::{Event, Fact};
+use crate::plan::Stream;
+
+/// Points of one line.
+pub type Points = Vec<(f64, f64)>;
+
+/// Length of an interval over which figures are taken, in seconds.
+pub const STEP: f64 = 0.25;
+
+/// Share of the samples at which a distribution starts and ends.
+const FROM_SHARE: f64 = 0.5;
+const TO_SHARE: f64 = 0.9999;
+
+/// Points of a distribution.
+const SHARES: usize = 200;
+
+/// Everything that is known of the scenario in which a domain leaves and returns.
+#[derive(Clone, Debug)]
+pub struct Story {
+    /// Streams of the plan.
+    pub streams: Vec<Stream>,
+    /// Length of the load.
+    pub seconds: f64,
+    /// What callers were told, in the order of the planned times.
+    pub records: Vec<Record>,
+    /// What the targets ran.
+    pub runs: Vec<Run>,
+    /// What was done to the fleet.
+    pub events: Vec<Event>,
+    /// The account.
+    pub account: Account,
+    /// Failure domain of each target.
+    pub domains: Vec<(InstanceId, DomainId)>,
+}
+
+/// Figures of the requests that were planned within an interval.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Figure {
+    /// Requests with a latency: all but the refused ones.
+    pub count: usize,
+    /// Median latency in ms.
+    pub p50: f64,
+    /// Latency of 99 in 100, in ms.
+    pub p99: f64,
+    /// Weight answered in time, as a part of the weight offered.
+    pub goodput: f64,
+}
+
+impl Story {
+    /// Seconds from the first planned request.
+    fn seconds_at(&self, at_us: u64) -> f64 {
+        let start = self.records.first().map_or(at_us, |record| record.due_us);
+        (at_us as f64 - start as f64) / 1e6
+    }
+
+    /// When domains went out and came back.
+    pub fn marks(&self) -> Vec<(f64, String)> {
+        let events = self.events.iter();
+        let marks = events.filter_map(|event| {
+            let text = match &event.fact {
+                Fact::DomainOut(domain) => format!("{domain} out"),
+                Fact::DomainIn(domain) => format!("{domain} in"),
+                _ => return None,
+            };
+            Some((self.seconds_at(event.at_us), text))
+        });
+        marks.collect()
+    }
+
+    /// Figures of the requests that were planned within a time, in seconds.
+    pub fn figure(&self, time: &Range<f64>) -> Figure {
+        let mut took = Vec::new();
+        let mut offered = 0;
+        let mut answered = 0;
+        for record in &self.records {
+            if !time.contains(&self.seconds_at(record.due_us)) {
+                continue;
+            }
+            let stream = &self.streams[record.stream];
+            let class = classify(record, stream);
+            offered += u64::from(stream.weight);
+            if class == Class::Answered {
+                answered += u64::from(stream.weight);
+            }
+            if class != Class::Refused {
+                took.push(record.took_us as f64 / 1000.0);
+            }
+        }
+        took.sort_by(f64::total_cmp);
+        Figure {
+            count: took.len(),
+            p50: quantile(&took, 0.5),
+            p99: quantile(&took, 0.99),
+            goodput: match offered {
+                0 => 1.0,
+                offered => answered as f64 / offered as f64,
+            },
+        }
+    }
+
+    /// The figures of each interval with the middle of its time.
+    pub fn figures(&self) -> Vec<(f64, Figure)> {
+        let figures = intervals(self.seconds).map(|time| (middle(&time), self.figure(&time)));
+        figures.collect()
+    }
+
+    /// Mean requests in flight at a target within a time.
+    pub fn in_flight(&self, target: &str, time: &Range<f64>) -> f64 {
+        let runs = self.runs.iter().filter(|run| &*run.target == target);
+        let overlaps = runs.map(|run| {
+            let start = self.seconds_at(run.start_us).max(time.start);
+            let end = self.seconds_at(run.end_us).min(time.end);
+            (end - start).max(0.0)
+        });
+        overlaps.sum::<f64>() / (time.end - time.start)
+    }
+
+    /// Requests in flight at a target over time.
+    pub fn flight(&self, target: &str) -> Points {
+        let times = intervals(self.seconds);
+        times
+            .map(|time| (middle(&time), self.in_flight(target, &time)))
+            .collect()
+    }
+
+    /// The times before, between and after the marks, with their names.
+    pub fn phases(&self) -> Vec<(String, Range<f64>)> {
+        let mut phases = Vec::new();
+        let mut name = "before".to_owned();
+        let mut start = 0.0;
+        for (at, text) in self.marks() {
+            phases.push((name, start..at));
+            name = text;
+            start = at;
+        }
+        phases.push((name, start..self.seconds));
+        phases
+    }
+}
+
+fn intervals(seconds: f64) -> impl Iterator<Item = Range<f64>> {
+    let count = (seconds / STEP).ceil() as usize;
+    (0..count).map(|index| {
+        let start = index as f64 * STEP;
+        start..start + STEP
+    })
+}
+
+fn middle(time: &Range<f64>) -> f64 {
+    f64::midpoint(time.start, time.end)
+}
+
+/// A quantile of sorted values.
+fn quantile(sorted: &[f64], share: f64) -> f64 {
+    let index = (sorted.len() as f64 * share) as usize;
+    let last = sorted.len().saturating_sub(1);
+    sorted.get(index.min(last)).copied().unwrap_or(0.0)
+}
+
+/// The place of a share on the axis of a distribution: 90% is 1, 99% is 2, 99.9% is 3.
+pub fn nines(share: f64) -> f64 {
+    -(1.0 - share).log10()
+}
+
+/// Latencies by share, from the median to 99.99%; ends where a single sample is left.
+pub fn distribution(samples: &[f64]) -> Points {
+    let mut sorted = samples.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let from = nines(FROM_SHARE);
+    let to = nines(TO_SHARE).min((sorted.len().max(2) as f64).log10());
+    let places = (0..=SHARES).map(|step| from + (to - from) * step as f64 / SHARES as f64);
+    places
+        .map(|place| (place, quantile(&sorted, 1.0 - 10_f64.powf(-place))))
+        .collect()
+}
--- a/crates/basilbay_load/src/table.rs
+++ b/crates/basilbay_load/src/table.rs
@@ -42,15 +42,21 @@
     ]
 }
 
+/// Columns of an account.
+pub const ACCOUNT: [&str; 11] = [
+    "service", "sent", "answered", "late", "refused", "unknown", "failed", "lost", "weighted",
+    "p50 ms", "p99 ms",
+];
+
+/// One row for each service, and one for all together.
+pub fn rows(account: &Account) -> Vec<Vec<String>> {
+    let services = account.services.iter();
+    services.chain([&account.all]).map(row).collect()
+}
+
 /// What callers saw, and the broken rules.
 pub fn account(account: &Account) -> String {
-    let header = [
-        "service", "sent", "answered", "late", "refused", "unknown", "failed", "lost", "weighted",
-        "p50 ms", "p99 ms",
-    ];
-    let mut rows: Vec<Vec<String>> = account.services.iter().map(row).collect();
-    rows.push(row(&account.all));
-    let mut text = lay_out(&header, &rows);
+    let mut text = lay_out(&ACCOUNT, &rows(account));
     text.push('\n');
     text.push_str(&breaches(account));
     text
--- a/crates/basilbay_load/src/trial.rs
+++ b/crates/basilbay_load/src/trial.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use basilbay_fakes::targets::account::Run;
+
 use crate::account::{Account, Evidence};
 use crate::client::Crowd;
 use crate::client::record::Record;
 use crate::fleet::Fleet;
+use crate::fleet::event::Event;
 use crate::plan::{Plan, Stream};
 
 /// Result of a trial.
@@ -16,6 +19,10 @@
 pub struct Trial {
     /// What callers were told.
     pub records: Vec<Record>,
+    /// What the targets ran.
+    pub runs: Vec<Run>,
+    /// What was done to the fleet.
+    pub events: Vec<Event>,
     /// The account.
     pub account: Account,
 }
@@ -45,8 +52,14 @@
     if records.iter().any(|record| record.attempts.len() > 1) {
         tokio::time::sleep(SETTLE).await;
     }
-    let account = account(fleet, plan, &records).await?;
-    Ok(Trial { records, account })
+    let runs = fleet.runs().await?;
+    let account = account(fleet, plan, &records, &runs).await?;
+    Ok(Trial {
+        records,
+        runs,
+        events: fleet.events.clone(),
+        account,
+    })
 }
 
 /// Sends discarded load until the daemons refuse almost nothing: after its start a daemon hands
@@ -66,9 +79,8 @@
     Ok(())
 }
 
-/// Reads what the targets ran and draws up the account.
-pub async fn account(fleet: &Fleet, plan: &Plan, records: &[Record]) -> Result<Account> {
-    let runs = fleet.runs().await?;
+/// Draws up the account.
+async fn account(fleet: &Fleet, plan: &Plan, records: &[Record], runs: &[Run]) -> Result<Account> {
     let violations = fleet.violations().await?;
     let members = fleet.members.iter();
     let domains: Vec<_> = members
@@ -77,7 +89,7 @@
     Ok(Account::new(&Evidence {
         streams: &plan.streams,
         records,
-        runs: &runs,
+        runs,
         violations: &violations,
         events: &fleet.events,
         domains: &domains,
--- /dev/null
+++ b/crates/basilbay_load/tests/report.rs
@@ -0,0 +1,184 @@
+//! The page and its plots on canned data.
+
+use std::sync::Arc;
+
+use basilbay_fakes::targets::account::{Outcome, Run};
+use basilbay_load::account::row::Latency;
+use basilbay_load::account::{Account, Evidence};
+use basilbay_load::client::record::{Attempt, Record, Told};
+use basilbay_load::compare::{Comparison, IDEAL, POLICIES, Series};
+use basilbay_load::deployment::Deployment;
+use basilbay_load::fleet::event::{Event, Fact};
+use basilbay_load::plan::Stream;
+use basilbay_load::report::page::Page;
+use basilbay_load::report::series::{self, Story};
+
+const SECOND: u64 = 1_000_000;
+
+fn comparison() -> Comparison {
+    let names = std::iter::once(IDEAL).chain(POLICIES);
+    let series = (1..).zip(names).map(|(factor, name)| {
+        let mut series = Series::new(name);
+        series.samples = (1..=1000).map(|value| f64::from(value * factor)).collect();
+        series.goodput.push(1.0);
+        series.rounds.push(Latency {
+            p99: 10.0 * f64::from(factor),
+            ..Latency::default()
+        });
+        series
+    });
+    Comparison {
+        series: series.collect(),
+        rate: 1000.0,
+    }
+}
+
+fn record(number: u64, told: Told) -> Record {
+    Record {
+        stream: 0,
+        key: None,
+        due_us: SECOND + number * 100_000,
+        lag_us: 0,
+        took_us: 10_000 * (number + 1),
+        attempts: vec![Attempt {
+            id: Arc::from(format!("r{number}")),
+            entry: 0,
+            told,
+        }],
+        is_whole: true,
+        is_replayed: false,
+    }
+}
+
+/// Four requests in 0.4 s, of which the last is refused, and a domain that is out from 0.1 to 0.3 s.
+fn story() -> Story {
+    let streams = Stream::of(&Deployment::named("caroni").expect("works"), 0.5, 0.0);
+    let mut records: Vec<Record> = (0..3)
+        .map(|number| record(number, Told::Answer(200)))
+        .collect();
+    records.push(record(3, Told::NotRun(503)));
+    let runs = vec![Run {
+        target: Arc::from("t1"),
+        request: Arc::from("r0"),
+        key: None,
+        kind: Arc::from("/"),
+        start_us: SECOND,
+        end_us: SECOND + 125_000,
+        outcome: Outcome::Done,
+        in_flight_at_start: 1,
+        cold: false,
+    }];
+    let event = |at_us, fact| Event { at_us, fact };
+    let events = vec![
+        event(SECOND + 100_000, Fact::DomainOut(Arc::from("d<1>"))),
+        event(SECOND + 300_000, Fact::DomainIn(Arc::from("d<1>"))),
+    ];
+    let domains = vec![
+        (Arc::from("t1"), Arc::from("d<1>")),
+        (Arc::from("t2"), Arc::from("d2")),
+    ];
+    let account = Account::new(&Evidence {
+        streams: &streams,
+        records: &records,
+        runs: &runs,
+        violations: &[],
+        events: &events,
+        domains: &domains,
+    });
+    Story {
+        streams,
+        seconds: 0.5,
+        records,
+        runs,
+        events,
+        account,
+        domains,
+    }
+}
+
+/// Whether every tag is closed in order and no text contains a bare angle bracket.
+fn is_well_formed(svg: &str) -> bool {
+    let mut open = Vec::new();
+    for part in svg.split('<').skip(1) {
+        let Some((tag, text)) = part.split_once('>') else {
+            return false;
+        };
+        if text.contains('>') {
+            return false;
+        }
+        let name = tag.split_whitespace().next().unwrap_or_default();
+        if let Some(name) = name.strip_prefix('/') {
+            if open.pop() != Some(name) {
+                return false;
+            }
+        } else if !tag.ends_with('/') {
+            open.push(name);
+        }
+    }
+    open.is_empty()
+}
+
+/// Guards against plots that a reader of SVG refuses, and against missing series.
+#[test]
+fn whole_plots() {
+    let page = Page::new("caroni", &comparison(), &story()).expect("works");
+    assert_eq!(page.plots.len(), 4);
+    for (name, svg) in &page.plots {
+        assert!(svg.starts_with("<svg"), "{name}");
+        assert!(is_well_formed(svg), "{name}: {svg}");
+        assert!(page.html.contains(svg), "{name}");
+    }
+    let policies = &page.plots[0].1;
+    for name in std::iter::once(IDEAL).chain(POLICIES) {
+        assert!(policies.contains(&format!("\n{name}\n")), "{name}");
+    }
+    for share in ["50%", "90%", "99%", "99.9%", "99.99%"] {
+        assert!(policies.contains(&format!("\n{share}\n")), "{share}");
+    }
+}
+
+/// Guards against figures in the wrong interval, and refused requests among the latencies.
+#[test]
+fn known_figures() {
+    let story = story();
+    let figures = story.figures();
+    assert_eq!(figures.len(), 2);
+    assert_eq!((figures[0].0, figures[0].1.count), (0.125, 3));
+    assert_eq!((figures[0].1.p50, figures[0].1.p99), (20.0, 30.0));
+    assert_eq!(figures[0].1.goodput, 1.0);
+    assert_eq!((figures[1].1.count, figures[1].1.goodput), (0, 0.0));
+    assert_eq!(story.flight("t1"), [(0.125, 0.5), (0.375, 0.0)]);
+    assert_eq!(story.flight("t2"), [(0.125, 0.0), (0.375, 0.0)]);
+}
+
+/// Guards against phases that miss time, and marks away from their events.
+#[test]
+fn known_phases() {
+    let phases = story().phases();
+    let times = phases.iter().map(|(_, time)| (time.start, time.end));
+    let times: Vec<_> = times.collect();
+    assert_eq!(times, [(0.0, 0.1), (0.1, 0.3), (0.3, 0.5)]);
+    assert_eq!(phases[1].0, "d<1> out");
+}
+
+/// Guards against distributions that go on beyond their last sample.
+#[test]
+fn known_distribution() {
+    let samples: Vec<f64> = (0..1000).map(f64::from).collect();
+    let points = series::distribution(&samples);
+    let first = points.first().expect("works");
+    let last = points.last().expect("works");
+    assert!((first.0 - series::nines(0.5)).abs() < 1e-9);
+    assert_eq!(first.1, 500.0);
+    assert!((last.0 - 3.0).abs() < 1e-9);
+    assert_eq!(last.1, 999.0);
+}
+
+/// Guards against a ratio to the ideal queue that is inverted or taken from another series.
+#[test]
+fn ideal_ratio() {
+    let comparison = comparison();
+    assert_eq!(comparison.of_ideal(IDEAL), Some(1.0));
+    assert_eq!(comparison.of_ideal("round-robin"), Some(2.0));
+    assert_eq!(comparison.of_ideal("basilbay"), Some(6.0));
+}
