Add a scenario in which the choice of target matters most

In noisy, bursts are short against the service times, so that all policies lie close together. noisy-hard keeps the service times and makes targets twenty times slower for 80 ms once a second on average, at 4 slots and 80% load.

--- a/crates/basilbay_load/src/scenario/catalogue.rs
+++ b/crates/basilbay_load/src/scenario/catalogue.rs
@@ -1,7 +1,7 @@
 //! The scenarios that are built in.
 
 /// Names and texts, sorted by name.
-const ALL: [(&str, &str); 24] = [
+const ALL: [(&str, &str); 25] = [
     ("bodies", include_str!("../../../../scenarios/bodies.json")),
     ("cold", include_str!("../../../../scenarios/cold.json")),
     (
@@ -29,6 +29,10 @@
     ),
     ("lying", include_str!("../../../../scenarios/lying.json")),
     ("noisy", include_str!("../../../../scenarios/noisy.json")),
+    (
+        "noisy-hard",
+        include_str!("../../../../scenarios/noisy-hard.json"),
+    ),
     (
         "overload",
         include_str!("../../../../scenarios/overload.json"),
