Read the instance list conditionally

A reader pulled the whole list every 500 ms: about 149 KB/s at 630 instances, against a limit of 9 KB/s. It now asks with the version in force, and a list that knows the version answers without instances but with the as-of time; a list that ignores the query answers whole as before.

--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -234,7 +234,7 @@
 
 async fn pull_roster(daemon: Arc<Daemon>, from: Origin, have: Version) {
     let pulled = match &from.source {
-        Source::Platform => read_roster(&daemon).await,
+        Source::Platform => read_roster(&daemon, have).await,
         Source::Peer { id, address } => {
             let path = format!("{ROSTER_PATH}?have={have}");
             pull::<RosterBody>(&daemon, id, *address, &path)
@@ -256,8 +256,12 @@
     settle(&daemon);
 }
 
-async fn read_roster(daemon: &Daemon) -> Result<Roster> {
-    let uri = format!("http://{}/instances", daemon.settings.instance_list);
+/// Reads the list; a list that knows `have` leaves the instances out while they are unchanged.
+async fn read_roster(daemon: &Daemon, have: Version) -> Result<Roster> {
+    let uri = format!(
+        "http://{}/instances?have={have}",
+        daemon.settings.instance_list
+    );
     let (_, bytes) = platform::get(daemon, &uri, PLATFORM_TIMEOUT).await?;
     Ok(serde_json::from_slice(&bytes)?)
 }
--- a/crates/basilbay_fakes/src/platform/routes.rs
+++ b/crates/basilbay_fakes/src/platform/routes.rs
@@ -25,7 +25,9 @@
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::GET, "/config") if shared.half != Half::List => config(&shared, &request).await,
-        (&Method::GET, "/instances") if shared.half != Half::Config => instances(&shared).await,
+        (&Method::GET, "/instances") if shared.half != Half::Config => {
+            instances(&shared, &request).await
+        }
         (_, path) if path.starts_with("/fake/") => Ok(control(&shared, request).await),
         _ => Ok(web::empty(StatusCode::NOT_FOUND)),
     }
@@ -97,7 +99,7 @@
     answer
 }
 
-async fn instances(shared: &Shared) -> Result<Answer> {
+async fn instances(shared: &Shared, request: &Request<Incoming>) -> Result<Answer> {
     shared.content().counts.add("/instances");
     let delay_ms = shared.content().faults.instances.delay_ms;
     delay(delay_ms).await;
@@ -106,8 +108,13 @@
     if fault.down {
         return Err(Closed);
     }
-    let roster = content.list.read(clock::millis(), fault.lag_ms);
+    let mut roster = content.list.read(clock::millis(), fault.lag_ms);
     drop(content);
+    let have = web::query(request, "have").and_then(|have| have.parse::<Version>().ok());
+    // An older list is sent whole: the reader must see that it is older.
+    if have == Some(roster.version) {
+        roster.instances.clear();
+    }
     Ok(web::json(StatusCode::OK, &roster))
 }
 
--- a/crates/basilbay_fakes/tests/platform.rs
+++ b/crates/basilbay_fakes/tests/platform.rs
@@ -188,3 +188,26 @@
     };
     assert!(Platform::start(settings).await.is_err());
 }
+
+/// Guards against readers that pull the whole list with every poll, and against an answer without
+/// instances to a reader that has another version.
+#[tokio::test]
+async fn conditional_list() {
+    let platform = start().await;
+    let whole = roster(&platform).await;
+    let have = whole.version;
+    let uri = format!("/instances?have={have}");
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    let (status, _, body) = get(&platform, &uri).await.expect("answers");
+    let unchanged: Roster = serde_json::from_str(&body).expect("a roster");
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(unchanged.version, have);
+    assert!(unchanged.instances.is_empty());
+    assert!(unchanged.as_of_ms > whole.as_of_ms);
+    for other in [have - 1, have + 1] {
+        let uri = format!("/instances?have={other}");
+        let (_, _, body) = get(&platform, &uri).await.expect("answers");
+        let changed: Roster = serde_json::from_str(&body).expect("a roster");
+        assert_eq!(changed.instances, whole.instances);
+    }
+}
