Count control traffic in the daemon

Bytes of control could not be measured on a machine whose loopback others use too. The daemon now counts datagrams, bodies of pulls and reads of the platform, and reports them in an optional field of the operators' status, which is left out when it is absent. The fixture of the client's tests names the new field. Tests of the daemon, the client and the admin crate pass.

--- a/crates/basilbay_admin/src/lib.rs
+++ b/crates/basilbay_admin/src/lib.rs
@@ -45,11 +45,34 @@
     /// Idempotency keys in memory.
     #[serde(default)]
     pub keys: u64,
+    /// What control cost since the daemon started; absent in older builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub control: Option<Control>,
     /// Every instance in the daemon's roster.
     #[serde(default)]
     pub peers: Vec<Peer>,
 }
 
+/// Control traffic of a daemon since its start.
+///
+/// Bytes of datagrams include the headers of IP and UDP; those of exchanges over HTTP are bodies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Control {
+    /// Datagrams sent.
+    pub datagrams_sent: u64,
+    /// Datagrams received.
+    pub datagrams_received: u64,
+    /// Bytes sent.
+    pub bytes_sent: u64,
+    /// Bytes received.
+    pub bytes_received: u64,
+    /// Exchanges over HTTP: pulls made, pulls answered, reads of the platform.
+    pub exchanges: u64,
+    /// Reads of the platform that were answered.
+    pub platform_reads: u64,
+}
+
 /// Another daemon, as this one knows it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
--- a/crates/basilbay_client/tests/support/fleet.rs
+++ b/crates/basilbay_client/tests/support/fleet.rs
@@ -169,6 +169,7 @@
         completed: 1_000,
         refused: 2,
         keys: 3,
+        control: None,
         peers: Vec::new(),
     }
 }
--- a/crates/basilbay_daemon/src/admin.rs
+++ b/crates/basilbay_daemon/src/admin.rs
@@ -107,6 +107,7 @@
         completed: counts.completed,
         refused: counts.refused,
         keys: daemon.registry.len() as u64,
+        control: Some(daemon.control.traffic.report()),
         peers: Vec::new(),
     }
 }
--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -25,6 +25,7 @@
 
 use crate::body::{self, Body};
 use crate::daemon::Daemon;
+use crate::traffic::Traffic;
 use crate::{platform, report};
 
 /// Result of a pull.
@@ -39,6 +40,8 @@
     node: Mutex<Node>,
     socket: UdpSocket,
     watch: Mutex<Option<AbortHandle>>,
+    /// What control costs on the network.
+    pub traffic: Traffic,
 }
 
 impl Control {
@@ -52,6 +55,7 @@
             node: Mutex::new(Node::new(identity, seed, Instant::now())),
             socket,
             watch: Mutex::new(None),
+            traffic: Traffic::default(),
         })
     }
 
@@ -76,8 +80,11 @@
             body,
         };
         let bytes = frame::encode(&datagram);
-        if bytes.len() <= MAX_DATAGRAM_BYTES {
-            let _ = self.socket.try_send_to(&bytes, to);
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            return;
+        }
+        if let Ok(length) = self.socket.try_send_to(&bytes, to) {
+            self.traffic.sent_datagram(length);
         }
     }
 }
@@ -119,6 +126,7 @@
         let Ok((length, source)) = daemon.control.socket.recv_from(&mut buffer).await else {
             continue;
         };
+        daemon.control.traffic.received_datagram(length);
         match frame::decode::<Datagram>(&buffer[..length], MAX_DATAGRAM_BYTES) {
             Ok(datagram) => hear(&daemon, &datagram, source),
             Err(error) => report::malformed_datagram(source, &error),
@@ -287,6 +295,7 @@
         body::read_all(response.into_body(), MAX_CONTROL_BYTES).await
     };
     let bytes = tokio::time::timeout(pull::PEER_TIMEOUT, pulling).await??;
+    daemon.control.traffic.pulled(bytes.len());
     Ok(frame::decode(&bytes, MAX_CONTROL_BYTES)?)
 }
 
@@ -299,6 +308,7 @@
         ROSTER_PATH => frame::encode(&daemon.control.node().serve_roster(have, now)),
         _ => return None,
     };
+    daemon.control.traffic.served(bytes.len());
     Some(Response::new(body::full(bytes.into())))
 }
 
--- a/crates/basilbay_daemon/src/lib.rs
+++ b/crates/basilbay_daemon/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod suspects;
 pub mod target;
 pub mod trace;
+pub mod traffic;
 pub mod trust;
--- a/crates/basilbay_daemon/src/platform.rs
+++ b/crates/basilbay_daemon/src/platform.rs
@@ -33,6 +33,7 @@
         let is_usable = status.is_success() || status == StatusCode::NOT_MODIFIED;
         anyhow::ensure!(is_usable, "{uri}: {status}");
         let bytes = body::read_all(response.into_body(), MAX_CONTROL_BYTES).await?;
+        daemon.control.traffic.read(bytes.len());
         Ok((status, bytes.to_vec()))
     };
     tokio::time::timeout(patience, reading)
--- /dev/null
+++ b/crates/basilbay_daemon/src/traffic.rs
@@ -0,0 +1,68 @@
+//! Counts what a daemon spends on control: datagrams, pulls and reads of the platform.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use basilbay_admin::Control;
+
+/// IPv4 and UDP headers of a datagram.
+const DATAGRAM_HEADERS: usize = 28;
+
+/// Counters since the start of the daemon.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    datagrams_sent: AtomicU64,
+    datagrams_received: AtomicU64,
+    bytes_sent: AtomicU64,
+    bytes_received: AtomicU64,
+    exchanges: AtomicU64,
+    platform_reads: AtomicU64,
+}
+
+impl Traffic {
+    /// Notes a datagram that was handed to the kernel.
+    pub fn sent_datagram(&self, length: usize) {
+        add(&self.datagrams_sent, 1);
+        add(&self.bytes_sent, length + DATAGRAM_HEADERS);
+    }
+
+    /// Notes a datagram that arrived.
+    pub fn received_datagram(&self, length: usize) {
+        add(&self.datagrams_received, 1);
+        add(&self.bytes_received, length + DATAGRAM_HEADERS);
+    }
+
+    /// Notes the body of an answer to a pull of another daemon.
+    pub fn served(&self, length: usize) {
+        add(&self.exchanges, 1);
+        add(&self.bytes_sent, length);
+    }
+
+    /// Notes the body that a pull from another daemon brought.
+    pub fn pulled(&self, length: usize) {
+        add(&self.exchanges, 1);
+        add(&self.bytes_received, length);
+    }
+
+    /// Notes the body that a read of the platform brought.
+    pub fn read(&self, length: usize) {
+        add(&self.platform_reads, 1);
+        self.pulled(length);
+    }
+
+    /// The counters as operators see them.
+    pub fn report(&self) -> Control {
+        let get = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Control {
+            datagrams_sent: get(&self.datagrams_sent),
+            datagrams_received: get(&self.datagrams_received),
+            bytes_sent: get(&self.bytes_sent),
+            bytes_received: get(&self.bytes_received),
+            exchanges: get(&self.exchanges),
+            platform_reads: get(&self.platform_reads),
+        }
+    }
+}
+
+fn add(counter: &AtomicU64, value: usize) {
+    counter.fetch_add(value as u64, Ordering::Relaxed);
+}
