Measure capacity by the size of the fleet

The verb capacity starts fleets of real daemons, measures control bytes, CPU, memory, changes, restarts and reads of the platform, and the CPU of a call at each role.

--- /dev/null
+++ b/crates/basilbay_load/src/capacity.rs
@@ -0,0 +1,160 @@
+//! `capacity`: how the cost of control grows with the size of a fleet.
+//!
+//! Each size is a fleet of real daemons without callers, so that all its CPU and bytes are control.
+//! The cost of calls is measured in a fleet of its own: the slope against calls a second leaves out
+//! what a daemon costs idle. Both together say what a fleet costs that this machine cannot hold.
+
+mod calls;
+mod idle;
+mod memory;
+mod observer;
+mod plan;
+mod size;
+mod spread;
+
+use serde::{Deserialize, Serialize};
+
+use crate::table;
+pub use calls::Calls;
+pub use idle::Idle;
+pub use memory::Memory;
+pub use size::{Cost, Size};
+pub use spread::Spread;
+
+/// Result of a measurement.
+pub type Result<T> = anyhow::Result<T>;
+
+/// Fleets that are measured where no others are asked for, in daemons.
+pub const SIZES: &str = "25,50,100,200";
+
+/// The whole measurement.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// Figures by size of the fleet.
+    pub sizes: Vec<Size>,
+    /// Cost of calls.
+    pub calls: Calls,
+    /// Memory by services in the configuration.
+    pub memory: Vec<Memory>,
+}
+
+/// Measures fleets of the given sizes one after the other.
+pub async fn run(sizes: &[usize]) -> Result<Report> {
+    let mut measured = Vec::new();
+    for daemons in sizes {
+        eprintln!("capacity: {daemons} daemons");
+        let size = size::measure(*daemons).await?;
+        eprintln!("{}", lay_out(std::slice::from_ref(&size)));
+        measured.push(size);
+    }
+    eprintln!("capacity: cost of calls");
+    let calls = calls::measure().await?;
+    eprintln!("capacity: memory by services");
+    let memory = memory::measure().await?;
+    Ok(Report {
+        sizes: measured,
+        calls,
+        memory,
+    })
+}
+
+/// The load average of the machine over the last minute.
+fn load_average() -> Result<f64> {
+    let text = std::fs::read_to_string("/proc/loadavg")?;
+    let first = text.split_whitespace().next().unwrap_or_default();
+    Ok(first.parse()?)
+}
+
+impl Report {
+    /// The tables for the screen.
+    pub fn table(&self) -> String {
+        [
+            lay_out(&self.sizes),
+            self.calls.table(),
+            memory::table(&self.memory),
+        ]
+        .join("\n\n")
+    }
+}
+
+type Figure = (&'static str, fn(&Size) -> Spread);
+
+/// What is shown of each size; spreads are lowest, median and highest.
+const FIGURES: [Figure; 26] = [
+    ("load average", |size| size.load_average),
+    ("idle: CPU, % of a core, mean of all", |size| {
+        size.idle.mean_cpu_percent
+    }),
+    ("idle: CPU of others, % of a core", |size| {
+        size.idle.cpu_percent
+    }),
+    ("idle: CPU of readers, % of a core", |size| {
+        size.idle.reader_cpu_percent
+    }),
+    ("idle: VmRSS, MB", |size| size.idle.resident_mb),
+    ("others: B/s sent", |size| size.idle.others.bytes_sent),
+    ("others: B/s received", |size| {
+        size.idle.others.bytes_received
+    }),
+    ("others: datagrams/s sent", |size| {
+        size.idle.others.datagrams_sent
+    }),
+    ("others: datagrams/s received", |size| {
+        size.idle.others.datagrams_received
+    }),
+    ("others: HTTP exchanges/s", |size| {
+        size.idle.others.exchanges
+    }),
+    ("readers: B/s sent", |size| size.idle.readers.bytes_sent),
+    ("readers: B/s received", |size| {
+        size.idle.readers.bytes_received
+    }),
+    ("readers: datagrams/s sent", |size| {
+        size.idle.readers.datagrams_sent
+    }),
+    ("readers: datagrams/s received", |size| {
+        size.idle.readers.datagrams_received
+    }),
+    ("readers: HTTP exchanges/s", |size| {
+        size.idle.readers.exchanges
+    }),
+    ("change: ms until in force on all", |size| size.change_ms),
+    ("change: B received by a reader", |size| {
+        size.change_bytes.readers
+    }),
+    ("change: B received by another", |size| {
+        size.change_bytes.others
+    }),
+    ("change: B sent, mean", |size| size.change_bytes.sent),
+    ("list change: B received by a reader", |size| {
+        size.roster_bytes.readers
+    }),
+    ("list change: B received by another", |size| {
+        size.roster_bytes.others
+    }),
+    ("list change: B sent, mean", |size| size.roster_bytes.sent),
+    ("platform: reads/s steady", |size| size.reads_steady),
+    ("platform: reads/s at most, after a restart", |size| {
+        size.reads_restart
+    }),
+    ("platform: reads/s at most, flapping", |size| {
+        size.reads_flapping
+    }),
+    ("restart: ms until all serve", |size| size.restart_ms),
+];
+
+fn lay_out(sizes: &[Size]) -> String {
+    let mut header = vec!["lowest / median / highest".to_owned()];
+    header.extend(sizes.iter().map(|size| size.daemons.to_string()));
+    let header: Vec<&str> = header.iter().map(String::as_str).collect();
+    let rows = FIGURES.iter().map(|(name, figure)| {
+        let mut row = vec![(*name).to_owned()];
+        row.extend(sizes.iter().map(|size| figure(size).to_string()));
+        row
+    });
+    let mut rows: Vec<Vec<String>> = rows.collect();
+    let mut readers = vec!["readers".to_owned()];
+    readers.extend(sizes.iter().map(|size| size.idle.reader_count.to_string()));
+    rows.insert(0, readers);
+    table::lay_out(&header, &rows)
+}
--- /dev/null
+++ b/crates/basilbay_load/src/capacity/idle.rs
@@ -0,0 +1,181 @@
+//! What daemons cost while nobody calls and nothing changes.
+
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use basilbay_admin::Control;
+use serde::{Deserialize, Serialize};
+
+use super::observer::Observer;
+use super::{Result, Spread};
+use crate::fleet::Fleet;
+use crate::latency::cost::{cpu, resident};
+
+/// Length of one window.
+const WINDOW: Duration = Duration::from_secs(8);
+
+/// Windows: each figure is measured in every one.
+const WINDOWS: usize = 2;
+
+/// Reads of the platform a second from which a daemon counts as a reader; readers poll the list
+/// every 500 ms.
+const READER: f64 = 1.0;
+
+/// Control traffic of a daemon in a second; spreads of the means of the windows.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Rate {
+    /// Datagrams sent.
+    pub datagrams_sent: Spread,
+    /// Datagrams received.
+    pub datagrams_received: Spread,
+    /// Bytes sent.
+    pub bytes_sent: Spread,
+    /// Bytes received.
+    pub bytes_received: Spread,
+    /// Exchanges over HTTP, whose heads the bytes leave out.
+    pub exchanges: Spread,
+}
+
+/// The idle cost of a daemon.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Idle {
+    /// Daemons that read the platform.
+    pub reader_count: usize,
+    /// Whether a daemon reads the platform, in the order of the fleet's members.
+    #[serde(skip)]
+    pub is_reader: Vec<bool>,
+    /// CPU of all daemons: means of the windows.
+    pub mean_cpu_percent: Spread,
+    /// CPU of a daemon that is not a reader: lowest, median and highest of all daemons and windows.
+    pub cpu_percent: Spread,
+    /// The same for readers.
+    pub reader_cpu_percent: Spread,
+    /// Resident memory of all daemons.
+    pub resident_mb: Spread,
+    /// Traffic of daemons that are not readers.
+    pub others: Rate,
+    /// Traffic of readers.
+    pub readers: Rate,
+}
+
+/// Counters of all daemons and the time between them.
+struct Window {
+    seconds: f64,
+    spent: Vec<Control>,
+    cores: Vec<f64>,
+}
+
+impl Window {
+    fn is_reader(&self, index: usize) -> bool {
+        self.spent[index].platform_reads as f64 / self.seconds >= READER
+    }
+
+    fn mean_percent(&self) -> f64 {
+        self.cores.iter().sum::<f64>() * 100.0 / self.cores.len() as f64
+    }
+
+    /// Mean over the readers or the others of one counter a second.
+    fn mean(&self, readers: bool, figure: fn(&Control) -> u64) -> Option<f64> {
+        let chosen = (0..self.spent.len()).filter(|index| self.is_reader(*index) == readers);
+        let values: Vec<u64> = chosen.map(|index| figure(&self.spent[index])).collect();
+        let sum: u64 = values.iter().sum();
+        (!values.is_empty()).then(|| sum as f64 / values.len() as f64 / self.seconds)
+    }
+}
+
+pub(super) async fn measure(fleet: &Fleet, observer: &Observer) -> Result<Idle> {
+    let mut windows = Vec::new();
+    for _ in 0..WINDOWS {
+        windows.push(window(fleet, observer).await?);
+    }
+    let last = windows.last().context("no window")?;
+    let is_reader = (0..last.spent.len()).map(|index| last.is_reader(index));
+    let is_reader: Vec<bool> = is_reader.collect();
+    Ok(Idle {
+        reader_count: is_reader.iter().filter(|reader| **reader).count(),
+        is_reader,
+        mean_cpu_percent: Spread::of(windows.iter().map(Window::mean_percent)),
+        cpu_percent: percent(&windows, false),
+        reader_cpu_percent: percent(&windows, true),
+        resident_mb: resident_mb(fleet)?,
+        others: rate(&windows, false),
+        readers: rate(&windows, true),
+    })
+}
+
+async fn window(fleet: &Fleet, observer: &Observer) -> Result<Window> {
+    let start = Instant::now();
+    let before = observer.controls().await?;
+    let cpu_before = cpus(fleet)?;
+    let cpu_start = Instant::now();
+    tokio::time::sleep(WINDOW).await;
+    let cpu_after = cpus(fleet)?;
+    let cpu_seconds = cpu_start.elapsed().as_secs_f64();
+    let seconds = start.elapsed().as_secs_f64();
+    let after = observer.controls().await?;
+    let spent = before.iter().zip(&after);
+    let cores = cpu_before.iter().zip(&cpu_after);
+    Ok(Window {
+        seconds,
+        spent: spent
+            .map(|(before, after)| between(before, after))
+            .collect(),
+        cores: cores
+            .map(|(before, after)| (after - before) / cpu_seconds)
+            .collect(),
+    })
+}
+
+fn between(before: &Control, after: &Control) -> Control {
+    Control {
+        datagrams_sent: after.datagrams_sent - before.datagrams_sent,
+        datagrams_received: after.datagrams_received - before.datagrams_received,
+        bytes_sent: after.bytes_sent - before.bytes_sent,
+        bytes_received: after.bytes_received - before.bytes_received,
+        exchanges: after.exchanges - before.exchanges,
+        platform_reads: after.platform_reads - before.platform_reads,
+    }
+}
+
+fn cpus(fleet: &Fleet) -> Result<Vec<f64>> {
+    let daemons = (0..fleet.members.len()).map(|index| {
+        let process = fleet.process_id(index).context("a daemon ended")?;
+        Ok(cpu(process)?.as_secs_f64())
+    });
+    daemons.collect()
+}
+
+/// Resident memory of all daemons of a fleet.
+pub(super) fn resident_mb(fleet: &Fleet) -> Result<Spread> {
+    let daemons = (0..fleet.members.len()).map(|index| {
+        let process = fleet.process_id(index).context("a daemon ended")?;
+        resident(process)
+    });
+    Ok(Spread::of(daemons.collect::<Result<Vec<f64>>>()?))
+}
+
+fn percent(windows: &[Window], readers: bool) -> Spread {
+    let all = windows.iter().flat_map(|window| {
+        let cores = window.cores.iter().enumerate();
+        let chosen = cores.filter(move |(index, _)| window.is_reader(*index) == readers);
+        chosen.map(|(_, cores)| cores * 100.0)
+    });
+    Spread::of(all)
+}
+
+fn rate(windows: &[Window], readers: bool) -> Rate {
+    let spread = |figure: fn(&Control) -> u64| {
+        Spread::of(
+            windows
+                .iter()
+                .filter_map(|window| window.mean(readers, figure)),
+        )
+    };
+    Rate {
+        datagrams_sent: spread(|spent| spent.datagrams_sent),
+        datagrams_received: spread(|spent| spent.datagrams_received),
+        bytes_sent: spread(|spent| spent.bytes_sent),
+        bytes_received: spread(|spent| spent.bytes_received),
+        exchanges: spread(|spent| spent.exchanges),
+    }
+}
--- /dev/null
+++ b/crates/basilbay_load/src/capacity/plan.rs
@@ -0,0 +1,56 @@
+//! Fleets with the shape of the one of two years from now.
+
+use super::Result;
+use crate::deployment::{Deployment, Row};
+
+/// Services in the configuration, with or without targets.
+pub(super) const SERVICES: usize = 70;
+
+/// Targets of a service: 630 by 70.
+const TARGETS: usize = 9;
+
+/// Failure domains.
+const DOMAINS: usize = 7;
+
+/// Kinds of a service: its part of the file is then about 1.5 KB.
+const KINDS: usize = 15;
+
+/// Id of a service.
+pub(super) fn service(index: usize) -> String {
+    format!("s{:03}", index + 1)
+}
+
+/// A configuration of some services with 15 kinds each.
+fn text(services: usize) -> String {
+    let mut text = "[basilbay]\nversion = 1\n".to_owned();
+    for domain in 1..=DOMAINS {
+        let region = domain % 2 + 1;
+        text.push_str(&format!("\n[domain d{domain}]\nregion = r{region}\n"));
+    }
+    for index in 0..services {
+        let name = service(index);
+        text.push_str(&format!(
+            "\n[service {name}]\nslots = 18\nconnections = 260\n"
+        ));
+        for kind in 1..=KINDS {
+            text.push_str(&format!(
+                "\n[kind {name}/k{kind:02}]\npath = /k{kind:02}\nmethods = GET POST\nweight = 2\n\
+                 idempotent = yes\ndeadline_ms = 2000\n"
+            ));
+        }
+    }
+    text
+}
+
+/// A deployment of some daemons, nine to a service, and a configuration of some services.
+pub(super) fn deployment(daemons: usize, services: usize) -> Result<Deployment> {
+    let names: Vec<String> = (0..daemons.div_ceil(TARGETS)).map(service).collect();
+    let kinds = [("k01", 1.0, 1)];
+    let rows = names.iter().enumerate().map(|(index, name)| {
+        let workers = TARGETS.min(daemons - index * TARGETS);
+        let row: Row<'_> = (name.as_str(), workers, &kinds[..]);
+        row
+    });
+    let rows: Vec<Row<'_>> = rows.collect();
+    Deployment::new("capacity", &text(services), &rows)
+}
--- /dev/null
+++ b/crates/basilbay_load/src/capacity/size.rs
@@ -0,0 +1,260 @@
+//! Measures a fleet of one size.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use basilbay_fakes::platform::fault::{Config, Faults, List};
+use serde::{Deserialize, Serialize};
+
+use super::observer::Observer;
+use super::plan::{self, SERVICES};
+use super::{Idle, Result, Spread, idle, load_average};
+use crate::fleet::{Fleet, platform_calls};
+
+/// Time for a fleet to become quiet after its start or a fault.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Changes of the configuration.
+const CHANGES: u32 = 5;
+
+/// Changes of the roster, restarts and stretches of flapping.
+const REPEATS: usize = 2;
+
+/// Time over which the bytes of one change are counted.
+const CHANGE: Duration = Duration::from_secs(1);
+
+/// Time over which the bytes of a quiet fleet are counted.
+const QUIET: Duration = Duration::from_secs(3);
+
+/// Seconds of the platform's reads that are watched after a restart and while it flaps.
+const SECONDS: usize = 4;
+
+/// Figures of one size.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Size {
+    /// Daemons.
+    pub daemons: usize,
+    /// Load average of the machine, before and after.
+    pub load_average: Spread,
+    /// Without calls and changes.
+    pub idle: Idle,
+    /// From publishing a configuration until it is in force on all daemons.
+    pub change_ms: Spread,
+    /// Control bytes of a daemon during a change of the configuration, above idle.
+    pub change_bytes: Cost,
+    /// The same for a change of the instance list.
+    pub roster_bytes: Cost,
+    /// Reads of the whole fleet at the platform, in each second without changes.
+    pub reads_steady: Spread,
+    /// Reads in the busiest second after a restart of all daemons.
+    pub reads_restart: Spread,
+    /// Reads in the busiest second while the platform goes up and down each second.
+    pub reads_flapping: Spread,
+    /// From the start of all daemons until all serve.
+    pub restart_ms: Spread,
+}
+
+pub(super) async fn measure(daemons: usize) -> Result<Size> {
+    let before = load_average()?;
+    let mut fleet = Fleet::start(plan::deployment(daemons, SERVICES)?).await?;
+    tokio::time::sleep(SETTLE).await;
+    let observer = Observer::connect(&fleet).await?;
+    let idle = idle::measure(&fleet, &observer).await?;
+    let reads_steady = Spread::of(reads_at(fleet.platform).await?);
+    let meter = Meter::start(&observer, &idle.is_reader).await?;
+    let (change_ms, change_bytes) = changes(&mut fleet, &observer, &meter).await?;
+    let (restart_ms, reads_restart) = restarts(&mut fleet).await?;
+    let reads_flapping = flapping(&mut fleet).await?;
+    let observer = Observer::connect(&fleet).await?;
+    let roster_bytes = roster_changes(&mut fleet, &observer, &meter).await?;
+    fleet.stop();
+    Ok(Size {
+        daemons,
+        load_average: Spread::of([before, load_average()?]),
+        idle,
+        change_ms,
+        change_bytes,
+        roster_bytes,
+        reads_steady,
+        reads_restart,
+        reads_flapping,
+        restart_ms,
+    })
+}
+
+/// Sums over daemons: bytes received by readers and by others, and bytes sent by all.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bytes {
+    readers: f64,
+    others: f64,
+    sent: f64,
+}
+
+/// Counts the bytes of changes.
+struct Meter {
+    is_reader: Vec<bool>,
+    /// Bytes in a second without changes.
+    quiet: Bytes,
+}
+
+impl Meter {
+    async fn start(observer: &Observer, is_reader: &[bool]) -> Result<Self> {
+        let mut meter = Self {
+            is_reader: is_reader.to_vec(),
+            quiet: Bytes::default(),
+        };
+        let start = Instant::now();
+        let before = meter.count(observer).await?;
+        tokio::time::sleep(QUIET).await;
+        let after = meter.count(observer).await?;
+        let seconds = start.elapsed().as_secs_f64();
+        meter.quiet = Bytes {
+            readers: (after.readers - before.readers) / seconds,
+            others: (after.others - before.others) / seconds,
+            sent: (after.sent - before.sent) / seconds,
+        };
+        Ok(meter)
+    }
+
+    async fn count(&self, observer: &Observer) -> Result<Bytes> {
+        let mut bytes = Bytes::default();
+        for (control, is_reader) in observer.controls().await?.iter().zip(&self.is_reader) {
+            let received = control.bytes_received as f64;
+            if *is_reader {
+                bytes.readers += received;
+            } else {
+                bytes.others += received;
+            }
+            bytes.sent += control.bytes_sent as f64;
+        }
+        Ok(bytes)
+    }
+
+    /// Bytes a daemon since a moment, without those of an idle fleet.
+    async fn above(&self, observer: &Observer, before: Bytes, from: Instant) -> Result<Bytes> {
+        let after = self.count(observer).await?;
+        let seconds = from.elapsed().as_secs_f64();
+        let all = self.is_reader.len() as f64;
+        let readers = self.is_reader.iter().filter(|reader| **reader).count() as f64;
+        let spent = |after: f64, before: f64, quiet: f64| after - before - quiet * seconds;
+        let quiet = self.quiet;
+        Ok(Bytes {
+            readers: spent(after.readers, before.readers, quiet.readers) / readers.max(1.0),
+            others: spent(after.others, before.others, quiet.others) / (all - readers).max(1.0),
+            sent: spent(after.sent, before.sent, quiet.sent) / all,
+        })
+    }
+}
+
+/// Bytes of a change, a daemon.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Cost {
+    /// Received by a reader.
+    pub readers: Spread,
+    /// Received by another daemon.
+    pub others: Spread,
+    /// Sent, mean of all daemons.
+    pub sent: Spread,
+}
+
+impl Cost {
+    fn of(bytes: &[Bytes]) -> Self {
+        Self {
+            readers: Spread::of(bytes.iter().map(|bytes| bytes.readers)),
+            others: Spread::of(bytes.iter().map(|bytes| bytes.others)),
+            sent: Spread::of(bytes.iter().map(|bytes| bytes.sent)),
+        }
+    }
+}
+
+async fn changes(fleet: &mut Fleet, observer: &Observer, meter: &Meter) -> Result<(Spread, Cost)> {
+    let mut times = Vec::new();
+    let mut extra = Vec::new();
+    let section = format!("service {}", plan::service(SERVICES - 1));
+    for change in 1..=CHANGES {
+        let from = Instant::now();
+        let before = meter.count(observer).await?;
+        let queue = (18 + change).to_string();
+        let start = Instant::now();
+        let version = fleet.change(&[(&section, "queue", &queue)]).await?;
+        observer.in_force(version).await?;
+        times.push(start.elapsed().as_secs_f64() * 1e3);
+        tokio::time::sleep(CHANGE).await;
+        extra.push(meter.above(observer, before, from).await?);
+    }
+    Ok((Spread::of(times), Cost::of(&extra)))
+}
+
+async fn roster_changes(fleet: &mut Fleet, observer: &Observer, meter: &Meter) -> Result<Cost> {
+    let mut extra = Vec::new();
+    for index in 0..REPEATS {
+        tokio::time::sleep(SETTLE).await;
+        let from = Instant::now();
+        let before = meter.count(observer).await?;
+        fleet.list_leaving(index).await?;
+        tokio::time::sleep(2 * CHANGE).await;
+        extra.push(meter.above(observer, before, from).await?);
+    }
+    Ok(Cost::of(&extra))
+}
+
+async fn restarts(fleet: &mut Fleet) -> Result<(Spread, Spread)> {
+    let mut times = Vec::new();
+    let mut peaks = Vec::new();
+    for _ in 0..REPEATS {
+        let start = Instant::now();
+        fleet.restart_all()?;
+        let counting = tokio::spawn(reads_at(fleet.platform));
+        fleet.ready().await?;
+        times.push(start.elapsed().as_secs_f64() * 1e3);
+        peaks.push(Spread::of(counting.await??).high);
+    }
+    tokio::time::sleep(SETTLE).await;
+    Ok((Spread::of(times), Spread::of(peaks)))
+}
+
+async fn flapping(fleet: &mut Fleet) -> Result<Spread> {
+    let mut peaks = Vec::new();
+    for _ in 0..REPEATS {
+        let counting = tokio::spawn(reads_at(fleet.platform));
+        for second in 0..SECONDS {
+            let down = second % 2 == 0;
+            fleet.platform_faults(&faults(down)).await?;
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        fleet.platform_faults(&faults(false)).await?;
+        peaks.push(Spread::of(counting.await??).high);
+    }
+    tokio::time::sleep(SETTLE).await;
+    Ok(Spread::of(peaks))
+}
+
+fn faults(down: bool) -> Faults {
+    Faults {
+        config: Config {
+            down,
+            ..Config::default()
+        },
+        instances: List {
+            down,
+            ..List::default()
+        },
+    }
+}
+
+/// Reads at the platform in each of some seconds; failed ones count too.
+async fn reads_at(platform: SocketAddr) -> Result<Vec<f64>> {
+    let mut ticks = tokio::time::interval(Duration::from_secs(1));
+    let mut rates = Vec::new();
+    let mut last = None;
+    while rates.len() < SECONDS {
+        ticks.tick().await;
+        let calls = platform_calls(platform).await?.total.calls;
+        let now = Instant::now();
+        if let Some((before, at)) = last.replace((calls, now)) {
+            let seconds = now.duration_since(at).as_secs_f64();
+            rates.push((calls - before) as f64 / seconds);
+        }
+    }
+    Ok(rates)
+}
--- a/crates/basilbay_load/src/command.rs
+++ b/crates/basilbay_load/src/command.rs
@@ -10,7 +10,7 @@
 
 use crate::compare::{self, Contest, POLICIES};
 use crate::scenario::{Scenario, catalogue};
-use crate::{demo, latency, quick, table};
+use crate::{capacity, demo, latency, quick, table};
 
 /// Threads of the runtime that sends the requests.
 const THREADS: usize = 4;
@@ -72,6 +72,20 @@
                 )
                 .arg(json()),
         )
+        .subcommand(
+            Command::new("capacity")
+                .about("Measures how the cost of control grows with the size of a fleet")
+                .arg(
+                    Arg::new("sizes")
+                        .long("sizes")
+                        .value_name("N,...")
+                        .value_delimiter(',')
+                        .value_parser(value_parser!(u16).range(2..=1000))
+                        .default_value(capacity::SIZES)
+                        .help("Daemons of each fleet"),
+                )
+                .arg(json()),
+        )
         .subcommand(
             Command::new("quick")
                 .about("Measures everything that matters in under 50 seconds")
@@ -128,6 +142,7 @@
         Some(("run", matches)) => run_scenario(matches).await,
         Some(("compare", matches)) => run_compare(matches).await,
         Some(("latency", matches)) => run_latency(matches).await,
+        Some(("capacity", matches)) => run_capacity(matches).await,
         Some(("quick", matches)) => run_quick(matches).await,
         _ => anyhow::bail!("unknown command"),
     }
@@ -214,6 +229,15 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn run_capacity(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let sizes = matches.get_many::<u16>("sizes").unwrap_or_default();
+    let sizes: Vec<usize> = sizes.map(|size| usize::from(*size)).collect();
+    let report = capacity::run(&sizes).await?;
+    println!("{}", report.table());
+    write_json(matches, &report)?;
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn run_quick(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
     let quick = quick::run().await?;
     println!("{}", quick.text());
--- a/crates/basilbay_load/src/fleet.rs
+++ b/crates/basilbay_load/src/fleet.rs
@@ -15,6 +15,7 @@
 use anyhow::{Context, ensure};
 use basilbay_fakes::client::{request, send};
 use basilbay_fakes::clock;
+use basilbay_fakes::platform::count::Report;
 use basilbay_fakes::platform::fault::Faults;
 use basilbay_fakes::proxy;
 use basilbay_fakes::targets::account::{Run, Violation};
@@ -221,6 +222,19 @@
         Ok(())
     }
 
+    /// Kills all daemons and starts them again under their ids, as after a loss of power.
+    pub fn restart_all(&mut self) -> Result<()> {
+        for member in &mut self.members {
+            if let Some(mut process) = member.process.take() {
+                process.kill();
+            }
+        }
+        for index in 0..self.members.len() {
+            self.start_daemon(index)?;
+        }
+        Ok(())
+    }
+
     /// Publishes a configuration text.
     pub async fn publish(&mut self, text: &str) -> Result<Version> {
         let body = self
@@ -368,3 +382,9 @@
         Ok(answer.into_body())
     }
 }
+
+/// Calls to a platform since its start.
+pub async fn platform_calls(platform: SocketAddr) -> Result<Report> {
+    let answer = send(platform, request(Method::GET, "/fake/counts", "")).await?;
+    serde_json::from_slice(answer.body()).context("counts")
+}
--- a/crates/basilbay_load/src/latency.rs
+++ b/crates/basilbay_load/src/latency.rs
@@ -162,7 +162,7 @@
 }
 
 /// Takes all daemons' ramps to the top.
-async fn warm_up(fleet: &Fleet) -> Result<()> {
+pub(crate) async fn warm_up(fleet: &Fleet) -> Result<()> {
     for (index, door) in doors(&fleet.entries()).await?.iter().enumerate() {
         for _ in 0..WARM_UP_CALLS {
             call(door, &service(index), "").await?;
--- a/crates/basilbay_load/src/lib.rs
+++ b/crates/basilbay_load/src/lib.rs
@@ -5,6 +5,7 @@
 //! targets ran. The verbs of `basilbay-load` are compositions of these three.
 
 pub mod account;
+pub mod capacity;
 pub mod client;
 pub mod command;
 pub mod compare;
