Hedge idempotent requests that take three times the usual time

An idempotent request without an answer after three times the median service time of its service is offered to a second target that runs it at once; the first answer is taken and the other request is cancelled. A hedge draws on the allowance and the budget as any second run does. The baselines do not hedge.

--- /dev/null
+++ b/crates/basilbay_daemon/src/attempt.rs
@@ -0,0 +1,225 @@
+//! One attempt of a call: at one target, or at a second one beside it when the first is late.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use basilbay_events::metrics;
+use basilbay_model::id::InstanceId;
+use basilbay_routing::board::CallId;
+use basilbay_routing::retry::Attempts;
+use basilbay_routing::router::{Ending, Pick, Tried};
+use basilbay_wire::hop::Role;
+use basilbay_wire::problem::{Cause, Outcome, Problem};
+
+use crate::answer::Reply;
+use crate::body::{Body, Received};
+use crate::daemon::{Daemon, Shard};
+use crate::entry;
+use crate::errand::{Errand, Terms};
+use crate::hop::{self, Return};
+use crate::target;
+
+/// How an attempt ended, and at which target.
+pub struct Ended {
+    /// The target's instance.
+    pub id: InstanceId,
+    /// What came back.
+    pub reply: Reply,
+}
+
+impl Ended {
+    fn is_answer(&self) -> bool {
+        matches!(&self.reply, Reply::Answer(response) if !entry::is_overloaded(response))
+    }
+
+    fn outcome(&self) -> Outcome {
+        match &self.reply {
+            Reply::Answer(_) => Outcome::Unknown,
+            Reply::Problem(problem) => problem.outcome,
+        }
+    }
+}
+
+/// A call on its way to the targets of its service.
+#[derive(Clone, Copy)]
+pub struct Route<'a> {
+    /// The daemon.
+    pub daemon: &'a Arc<Daemon>,
+    /// The request.
+    pub errand: &'a Errand,
+    /// What is kept for the service.
+    pub shard: &'a Shard,
+    /// Number of the call.
+    pub call: CallId,
+}
+
+impl Route<'_> {
+    /// Sends the request to the picked target, and to a second one if the first is late.
+    ///
+    /// A noisy neighbour holds a request for tens of milliseconds that has started already, which
+    /// no choice of a target can foresee. The first answer is taken; the other request is
+    /// cancelled.
+    pub async fn run(
+        self,
+        pick: Pick,
+        taken: Body,
+        attempts: &mut Attempts,
+        body: &mut Received,
+    ) -> Ended {
+        let may_hedge = attempts.idempotent && body.is_kept();
+        let delay = self.shard.lock().hedge_delay().filter(|_| may_hedge);
+        let first_id = pick.id.clone();
+        let first = self.attempt(pick, attempts.allowance.passed_on(), taken);
+        let Some(delay) = delay else {
+            return first.await;
+        };
+        tokio::pin!(first);
+        if let Ok(ended) = tokio::time::timeout(delay, &mut first).await {
+            return ended;
+        }
+        let Some((pick, taken)) = self.hedge(&first_id, attempts, body) else {
+            return first.await;
+        };
+        let second = self.attempt(pick, attempts.allowance.passed_on(), taken);
+        tokio::pin!(second);
+        let (sooner, later) = tokio::select! {
+            ended = &mut first => {
+                if ended.is_answer() {
+                    return ended;
+                }
+                (ended, second.await)
+            }
+            ended = &mut second => {
+                if ended.is_answer() {
+                    return ended;
+                }
+                (ended, first.await)
+            }
+        };
+        if !later.is_answer() {
+            attempts.note(sooner.outcome());
+        }
+        later
+    }
+
+    /// Picks a second target that runs the request at once, if the call may hedge.
+    fn hedge(
+        &self,
+        first: &InstanceId,
+        attempts: &mut Attempts,
+        body: &mut Received,
+    ) -> Option<(Pick, Body)> {
+        let now = Instant::now();
+        let mut router = self.shard.lock();
+        let elsewhere = router.board.targets.iter();
+        if !elsewhere
+            .filter(|target| target.id != *first)
+            .any(|target| target.takes_work(now))
+        {
+            return None;
+        }
+        if !attempts.hedge(&mut router.budget, now) {
+            return None;
+        }
+        let tried = Tried {
+            failed: vec![first.clone()],
+            ..Tried::default()
+        };
+        let pick = router.pick(self.call, &tried, now)?;
+        self.daemon.metrics.count(metrics::ATTEMPTS_HEDGED, 1);
+        let pick = Pick {
+            may_wait: false,
+            ..pick
+        };
+        Some((pick, body.take()?))
+    }
+
+    async fn attempt(self, pick: Pick, allowance: u8, body: Body) -> Ended {
+        let under_way = UnderWay {
+            shard: self.shard,
+            id: pick.id.clone(),
+            call: self.call,
+            is_over: false,
+        };
+        let terms = Terms {
+            role: Role::Run,
+            allowance,
+            may_wait: pick.may_wait,
+        };
+        let returned = self.exchange(&pick.id, terms, body).await;
+        under_way.end(&returned);
+        Ended {
+            id: pick.id,
+            reply: returned.reply,
+        }
+    }
+
+    async fn exchange(self, id: &InstanceId, terms: Terms, body: Body) -> Return {
+        let daemon = self.daemon;
+        if *id == daemon.settings.id {
+            return Return {
+                reply: target::run(daemon, self.errand, terms, body).await,
+                load: Some(daemon.admission.load()),
+                is_reachable: true,
+            };
+        }
+        let view = daemon.view();
+        match view.roster.instance(id) {
+            Some(instance) => {
+                let address = instance.peer;
+                hop::send(daemon, self.errand, id, address, terms, body).await
+            }
+            None => Return {
+                reply: Reply::Problem(Problem::not_run(
+                    Cause::PeerFailed,
+                    format!("{id} left the instance list"),
+                )),
+                load: None,
+                is_reachable: false,
+            },
+        }
+    }
+}
+
+/// An attempt that is noted on the board; one that is dropped with its call counts as abandoned.
+struct UnderWay<'a> {
+    shard: &'a Shard,
+    id: InstanceId,
+    call: CallId,
+    is_over: bool,
+}
+
+impl UnderWay<'_> {
+    fn end(mut self, returned: &Return) {
+        self.is_over = true;
+        let now = Instant::now();
+        let mut router = self.shard.lock();
+        router.end(&self.id, self.call, ending_of(returned), now);
+        if let Some(load) = &returned.load {
+            router.hear(&self.id, load, now);
+        }
+    }
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        if !self.is_over {
+            let mut router = self.shard.lock();
+            router.end(&self.id, self.call, Ending::Abandoned, Instant::now());
+        }
+    }
+}
+
+fn ending_of(returned: &Return) -> Ending {
+    match &returned.reply {
+        Reply::Answer(response) if entry::is_overloaded(response) => Ending::Failed,
+        Reply::Answer(_) => Ending::Answered,
+        Reply::Problem(problem) if problem.cause == Cause::DeadlinePassed => Ending::Abandoned,
+        Reply::Problem(problem)
+            if !returned.is_reachable || problem.outcome == Outcome::Unknown =>
+        {
+            Ending::Failed
+        }
+        Reply::Problem(_) => Ending::Refused,
+    }
+}
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -12,19 +12,17 @@
 use basilbay_model::id::InstanceId;
 use basilbay_routing::board::CallId;
 use basilbay_routing::retry::{Attempts, Budget};
-use basilbay_routing::router::{Ending, Pick, Tried};
+use basilbay_routing::router::{Ending, Tried};
 use basilbay_wire::header;
-use basilbay_wire::hop::Role;
 use basilbay_wire::problem::{Cause, Outcome, Problem};
 
 use crate::answer::{self, Reply};
+use crate::attempt::Route;
 use crate::body::{Body, Received};
-use crate::daemon::{Daemon, Shard};
-use crate::errand::{Errand, Terms};
+use crate::daemon::Daemon;
+use crate::errand::Errand;
 use crate::home;
-use crate::hop::{self, Return};
 use crate::intake;
-use crate::target;
 use crate::trace::Context;
 
 /// Serves a request of a caller.
@@ -122,16 +120,21 @@
         let Some(pick) = picked else {
             return course.give_up(errand);
         };
-        let id = pick.id.clone();
         let Some(taken) = course.body.take() else {
             let now = Instant::now();
-            shard.lock().end(&id, course.call, Ending::Abandoned, now);
+            let id = &pick.id;
+            shard.lock().end(id, course.call, Ending::Abandoned, now);
             return course.give_up(errand);
         };
-        let under_way = UnderWay::new(&shard, id.clone(), course.call);
-        let returned = attempt(daemon, errand, &pick, &course.attempts, taken).await;
-        under_way.end(&returned);
-        if !course.goes_on(returned.reply, id, &mut shard.lock().budget) {
+        let route = Route {
+            daemon,
+            errand,
+            shard: &shard,
+            call: course.call,
+        };
+        let body = &mut course.body;
+        let ended = route.run(pick, taken, &mut course.attempts, body).await;
+        if !course.goes_on(ended.reply, ended.id, &mut shard.lock().budget) {
             return course.give_up(errand);
         }
         daemon.metrics.count(metrics::ATTEMPTS_REPEATED, 1);
@@ -187,7 +190,7 @@
 }
 
 /// Whether the target itself says that it cannot serve; an idempotent request may try another.
-fn is_overloaded(response: &Response<Body>) -> bool {
+pub fn is_overloaded(response: &Response<Body>) -> bool {
     matches!(
         response.status(),
         StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
@@ -200,95 +203,6 @@
     problem.cause.is_local() || found_full
 }
 
-/// An attempt that is noted on the board; one that is dropped with its call counts as abandoned.
-struct UnderWay<'a> {
-    shard: &'a Shard,
-    id: InstanceId,
-    call: CallId,
-    is_over: bool,
-}
-
-impl<'a> UnderWay<'a> {
-    fn new(shard: &'a Shard, id: InstanceId, call: CallId) -> Self {
-        Self {
-            shard,
-            id,
-            call,
-            is_over: false,
-        }
-    }
-
-    fn end(mut self, returned: &Return) {
-        self.is_over = true;
-        let now = Instant::now();
-        let mut router = self.shard.lock();
-        router.end(&self.id, self.call, ending_of(returned), now);
-        if let Some(load) = &returned.load {
-            router.hear(&self.id, load, now);
-        }
-    }
-}
-
-impl Drop for UnderWay<'_> {
-    fn drop(&mut self) {
-        if !self.is_over {
-            let mut router = self.shard.lock();
-            router.end(&self.id, self.call, Ending::Abandoned, Instant::now());
-        }
-    }
-}
-
-async fn attempt(
-    daemon: &Arc<Daemon>,
-    errand: &Errand,
-    pick: &Pick,
-    attempts: &Attempts,
-    body: Body,
-) -> Return {
-    let Pick { id, may_wait } = pick;
-    let terms = Terms {
-        role: Role::Run,
-        allowance: attempts.allowance.passed_on(),
-        may_wait: *may_wait,
-    };
-    if *id == daemon.settings.id {
-        return Return {
-            reply: target::run(daemon, errand, terms, body).await,
-            load: Some(daemon.admission.load()),
-            is_reachable: true,
-        };
-    }
-    let view = daemon.view();
-    match view.roster.instance(id) {
-        Some(instance) => {
-            let address = instance.peer;
-            hop::send(daemon, errand, id, address, terms, body).await
-        }
-        None => Return {
-            reply: Reply::Problem(Problem::not_run(
-                Cause::PeerFailed,
-                format!("{id} left the instance list"),
-            )),
-            load: None,
-            is_reachable: false,
-        },
-    }
-}
-
-fn ending_of(returned: &Return) -> Ending {
-    match &returned.reply {
-        Reply::Answer(response) if is_overloaded(response) => Ending::Failed,
-        Reply::Answer(_) => Ending::Answered,
-        Reply::Problem(problem) if problem.cause == Cause::DeadlinePassed => Ending::Abandoned,
-        Reply::Problem(problem)
-            if !returned.is_reachable || problem.outcome == Outcome::Unknown =>
-        {
-            Ending::Failed
-        }
-        Reply::Problem(_) => Ending::Refused,
-    }
-}
-
 fn no_target(errand: &Errand) -> Problem {
     let detail = format!(
         "no target of service '{}' takes work",
--- a/crates/basilbay_daemon/src/lib.rs
+++ b/crates/basilbay_daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admin;
 pub mod admission;
 pub mod answer;
+pub mod attempt;
 pub mod body;
 pub mod control;
 pub mod daemon;
--- a/crates/basilbay_events/src/metrics.rs
+++ b/crates/basilbay_events/src/metrics.rs
@@ -63,6 +63,8 @@
         "Time from a caller's request to the answer.";
     ATTEMPTS_REPEATED Counter "attempts.repeated"
         "Attempts after the first one of a call.";
+    ATTEMPTS_HEDGED Counter "attempts.hedged"
+        "Second attempts beside a first one that had not answered for long.";
     RUNS_COMPLETED Counter "runs.completed"
         "Requests that the own target answered.";
     RUNS_REFUSED Counter "runs.refused"
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -119,6 +119,18 @@
         }
     }
 
+    /// Notes how an attempt ended that is not tried again by itself.
+    pub fn note(&mut self, outcome: Outcome) {
+        self.may_have_run |= outcome == Outcome::Unknown;
+    }
+
+    /// Whether a second attempt may run beside the first, which has not answered for long. It is
+    /// a second run like any other: it needs the allowance and the budget.
+    pub fn hedge(&mut self, budget: &mut Budget, now: Instant) -> bool {
+        let allowed = self.idempotent && now < self.deadline && self.allowance.own > 0;
+        allowed && budget.withdraw(now) && self.allowance.take()
+    }
+
     /// What the caller may be told after the last attempt ended with `last`: "not run" only if no
     /// attempt may have run.
     pub fn outcome(&self, last: Outcome) -> Outcome {
@@ -131,7 +143,7 @@
 
     /// Whether to try again after an attempt that ended with `outcome`.
     pub fn again(&mut self, outcome: Outcome, budget: &mut Budget, now: Instant) -> bool {
-        self.may_have_run |= outcome == Outcome::Unknown;
+        self.note(outcome);
         if now >= self.deadline {
             return false;
         }
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -60,6 +60,13 @@
     }
 }
 
+/// Usual service times after which a request is hedged; with a log-normal spread of 0.4, 3 of
+/// 1,000 undisturbed requests take longer.
+const HEDGE_FACTOR: f64 = 3.0;
+
+/// Shortest time after which a request is hedged; below it, scheduling delays would cause hedges.
+const HEDGE_MIN: Duration = Duration::from_millis(5);
+
 /// Where a request goes next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pick {
@@ -276,6 +283,18 @@
         Some(Duration::from_micros(u64::from(*median)))
     }
 
+    /// Time without an answer after which an idempotent request is sent to a second target.
+    ///
+    /// Few undisturbed requests take as long, so that hedges cost little; `None` while service
+    /// times are not known, and for the baselines.
+    pub fn hedge_delay(&self) -> Option<Duration> {
+        let usual = self.board.summary.median_latency?;
+        if !self.policy.uses_feedback() {
+            return None;
+        }
+        Some(Duration::from_secs_f64(usual * HEDGE_FACTOR).max(HEDGE_MIN))
+    }
+
     /// Starts to count the attempts of a call.
     pub fn attempts(&mut self, idempotent: bool, deadline: Instant, allowance: u8) -> Attempts {
         self.budget.deposit();
