Fit load pushes into the control budget, and let hedges be cancelled in tests

Two fleet tests counted the cancelled half of a hedged read as work that was cut off; the trace shows reads only, each with a completed run of the same request beside it.

Pushes are capped at 2,000 B/s. A run that did not complete still fails the tests unless it is a read with such a sibling; writes always fail.

--- a/crates/basilbay_daemon/tests/domain.rs
+++ b/crates/basilbay_daemon/tests/domain.rs
@@ -55,12 +55,8 @@
     println!("out: in force after {in_force:?}, last start {last:?} us, {tally:?}");
     assert!(last.is_none_or(|last| u128::from(last) <= CHANGE_LIMIT.as_micros()));
     assert_eq!(tally.sent, tally.answered + tally.not_run, "{tally:?}");
-    let done = |run: &&load::Run| run.outcome == load::Ran::Done;
-    assert_eq!(
-        runs.iter().filter(done).count(),
-        runs.len(),
-        "work was cut off"
-    );
+    let cut: Vec<&load::Run> = load::cut_off(&runs);
+    assert!(cut.is_empty(), "work was cut off: {cut:?}");
 }
 
 /// Guards against new work in a failure domain that is out, against work cut off there, and against
--- a/crates/basilbay_daemon/tests/fleet_common/load.rs
+++ b/crates/basilbay_daemon/tests/fleet_common/load.rs
@@ -214,6 +214,23 @@
     }
 }
 
+/// Runs that were cut off.
+///
+/// A hedged read is cancelled at the target that was late once the other one has answered. That
+/// run has a completed sibling that ran beside it; any other run that did not complete was cut
+/// off, and so was every write, which is never hedged.
+pub(crate) fn cut_off(runs: &[Run]) -> Vec<&Run> {
+    let completed = |run: &Run| {
+        let mut siblings = runs.iter().filter(|other| other.request == run.request);
+        siblings.any(|other| other.outcome == Ran::Done && other.start_us < run.end_us)
+    };
+    runs.iter()
+        .filter(|run| run.outcome != Ran::Done)
+        .inspect(|run| println!("did not complete: {run:?}"))
+        .filter(|run| run.request.starts_with("pay") || !completed(run))
+        .collect()
+}
+
 /// Holds what callers were told against what the targets ran.
 ///
 /// Asserts what holds under every failure: an answer is whole and of a request that ran, a refusal
--- a/crates/basilbay_daemon/tests/leaving.rs
+++ b/crates/basilbay_daemon/tests/leaving.rs
@@ -38,8 +38,8 @@
     println!("last start {last:?} us after the leaving, {tally:?}");
     assert!(last.is_none_or(|last| u128::from(last) <= LEAVING_LIMIT.as_micros()));
     assert_eq!(tally.sent, tally.answered + tally.not_run, "{tally:?}");
-    let cut = runs.iter().find(|run| run.outcome != load::Ran::Done);
-    assert_eq!(cut, None, "work was cut off");
+    let cut = load::cut_off(&runs);
+    assert!(cut.is_empty(), "work was cut off: {cut:?}");
 }
 
 /// Guards against new work on a target that stops as planned, against work that its stop cuts off,
--- a/crates/basilbay_routing/src/push.rs
+++ b/crates/basilbay_routing/src/push.rs
@@ -20,11 +20,12 @@
 /// Shortest time between two datagrams to one daemon.
 const PAUSE: Duration = Duration::from_millis(5);
 
-/// Bytes a second for load; the control budget of a daemon is 9 KB/s in all.
-const BYTES_PER_SECOND: f64 = 4096.0;
+/// Bytes a second for load. Gossip sends and receives 4.9 KB/s, and every byte that is sent is
+/// received by another daemon, so this is what the control budget of 9 KB/s leaves.
+const BYTES_PER_SECOND: f64 = 2000.0;
 
 /// Bytes that are saved up for a sudden change.
-const BURST_BYTES: f64 = 4096.0;
+const BURST_BYTES: f64 = 2000.0;
 
 /// A daemon that sends requests here.
 #[derive(Clone, Debug)]
--- a/crates/basilbay_routing/tests/push.rs
+++ b/crates/basilbay_routing/tests/push.rs
@@ -10,8 +10,9 @@
 
 const DATAGRAM_BYTES: usize = 100;
 
-/// Part of the 9 KB/s control budget that load may use, with the burst that was saved up.
-const BUDGET_BYTES_PER_SECOND: f64 = 4096.0;
+/// Half of what the control budget of 9 KB/s leaves beside the 4.9 KB/s of gossip: what one daemon
+/// sends, others receive.
+const BUDGET_BYTES_PER_SECOND: f64 = 2050.0;
 
 fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
