--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -106,19 +106,10 @@
         if state == State::Cold {
             daemon.compare_with_siblings(now);
         }
-        note_own_load(&daemon, now);
+        daemon.note_own_load();
     }
 }
 
-/// Keeps the figures of the own target fresh on the own board.
-///
-/// Old figures count for less. Those that come only with answers grow old once the target is passed
-/// over, and then it is passed over for ever.
-fn note_own_load(daemon: &Daemon, now: Instant) {
-    let load = daemon.admission.load();
-    daemon.hear_load(&daemon.settings.id, &load, now);
-}
-
 /// Receives datagrams for as long as the daemon runs.
 pub async fn receive(daemon: Arc<Daemon>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
@@ -163,9 +154,16 @@
 }
 
 fn note_standing(daemon: &Arc<Daemon>, standing: Standing, as_of: Stamp, now: Instant) {
-    daemon.trust.note(standing.serves(), now);
-    daemon.close_while_unconfirmed(!standing.serves());
+    let serves = standing.serves();
+    // Requests are let in last and kept out first, so that none meets a closed target.
+    if !serves {
+        daemon.trust.note(serves, now);
+    }
+    daemon.close_while_unconfirmed(!serves);
     daemon.note_as_of(as_of);
+    if serves {
+        daemon.trust.note(serves, now);
+    }
 }
 
 fn perform(daemon: &Arc<Daemon>, action: Action) {
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -228,6 +228,7 @@
         self.sync_target(&view);
         self.links.retain(|id| view.roster.instance(id).is_some());
         self.view.store(Arc::new(view));
+        self.note_own_load();
     }
 
     fn sync_shards(&self, view: &View) {
@@ -347,9 +348,20 @@
         if self.unconfirmed.swap(is_unconfirmed, Ordering::AcqRel) != is_unconfirmed {
             self.admission
                 .set_state(Closed::Unconfirmed, is_unconfirmed);
+            self.note_own_load();
         }
     }
 
+    /// Keeps the figures of the own target fresh on the own board.
+    ///
+    /// Old figures count for less: those that come only with answers grow old once the target is
+    /// passed over, and then it is passed over for ever. A change of state must be known at once:
+    /// a daemon that had just become ready refused requests for up to a tick.
+    pub fn note_own_load(&self) {
+        let load = self.admission.load();
+        self.hear_load(&self.settings.id, &load, Instant::now());
+    }
+
     /// Notes that a daemon got the load with an answer.
     pub fn note_answered(&self, origin: &InstanceId, now: Instant) {
         let view = self.view.load();
--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -106,6 +106,7 @@
         } else {
             emit!(catalogue::TARGET_UP, target_address = %daemon.settings.target);
         }
+        daemon.note_own_load();
         daemon.announce();
     }
 }
