Carry with a retry that the attempt before it broke off

After a crash the bystander and the poisoned request were tried again at the same sibling before its warning, a datagram, had arrived; both ran side by side there and shared a second crash.

The hop of a retry after an unknown outcome says so, and the target's daemon runs at most one such request at a time, whether the datagram has come or not.

--- a/crates/basilbay_daemon/src/attempt.rs
+++ b/crates/basilbay_daemon/src/attempt.rs
@@ -53,7 +53,7 @@
     pub call: CallId,
 }
 
-impl Route<'_> {
+impl<'a> Route<'a> {
     /// Sends the request to the picked target, and to a second one if the first is late.
     ///
     /// A noisy neighbour holds a request for tens of milliseconds that has started already, which
@@ -69,7 +69,7 @@
         let may_hedge = attempts.idempotent && body.is_kept();
         let delay = self.shard.lock().hedge_delay().filter(|_| may_hedge);
         let first_id = pick.id.clone();
-        let first = self.attempt(pick, attempts.allowance.passed_on(), taken);
+        let first = self.attempt(pick, attempts, taken);
         let Some(delay) = delay else {
             return first.await;
         };
@@ -80,7 +80,7 @@
         let Some((pick, taken)) = self.hedge(&first_id, attempts, body) else {
             return first.await;
         };
-        let second = self.attempt(pick, attempts.allowance.passed_on(), taken);
+        let second = self.attempt(pick, attempts, taken);
         tokio::pin!(second);
         let (sooner, later) = tokio::select! {
             ended = &mut first => {
@@ -134,22 +134,32 @@
         Some((pick, body.take()?))
     }
 
-    async fn attempt(self, pick: Pick, allowance: u8, body: Body) -> Ended {
+    fn attempt(
+        self,
+        pick: Pick,
+        attempts: &Attempts,
+        body: Body,
+    ) -> impl Future<Output = Ended> + use<'a> {
+        let terms = Terms {
+            role: Role::Run,
+            allowance: attempts.allowance.passed_on(),
+            may_wait: pick.may_wait,
+            suspect: attempts.may_have_run(),
+        };
+        self.send(pick.id, terms, body)
+    }
+
+    async fn send(self, id: InstanceId, terms: Terms, body: Body) -> Ended {
         let under_way = UnderWay {
             shard: self.shard,
-            id: pick.id.clone(),
+            id: id.clone(),
             call: self.call,
             is_over: false,
         };
-        let terms = Terms {
-            role: Role::Run,
-            allowance,
-            may_wait: pick.may_wait,
-        };
-        let returned = self.exchange(&pick.id, terms, body).await;
+        let returned = self.exchange(&id, terms, body).await;
         under_way.end(&returned);
         Ended {
-            id: pick.id,
+            id,
             reply: returned.reply,
         }
     }
--- a/crates/basilbay_daemon/src/errand.rs
+++ b/crates/basilbay_daemon/src/errand.rs
@@ -25,6 +25,9 @@
     pub allowance: u8,
     /// Whether the request may wait at a full target.
     pub may_wait: bool,
+    /// Whether an earlier attempt broke off. The siblings are warned of a crash by datagrams, which
+    /// may arrive after the next attempt does.
+    pub suspect: bool,
 }
 
 /// What is known of a request besides its body.
@@ -104,6 +107,7 @@
             origin: origin.clone(),
             config_version,
             may_wait: terms.may_wait,
+            suspect: terms.suspect,
             role: terms.role,
             fingerprint: self.fingerprint,
         }
--- a/crates/basilbay_daemon/src/home.rs
+++ b/crates/basilbay_daemon/src/home.rs
@@ -132,6 +132,7 @@
         role: Role::Home,
         allowance: errand.intake.allowance,
         may_wait: true,
+        suspect: false,
     };
     let returned = hop::send(daemon, &errand, &home, instance.peer, terms, taken).await;
     match returned.reply {
--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -190,6 +190,7 @@
                 role: hop.role,
                 allowance: hop.allowance,
                 may_wait: hop.may_wait,
+                suspect: hop.suspect,
             };
             target::run(daemon, &errand, terms, body).await
         }
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -24,13 +24,13 @@
 
 /// Runs a request on the own target, once it is admitted.
 pub async fn run(daemon: &Arc<Daemon>, errand: &Errand, terms: Terms, body: Body) -> Reply {
-    match admit(daemon, errand, terms.may_wait).await {
+    match admit(daemon, errand, terms).await {
         Ok(slot) => exchange(daemon, errand, terms.allowance, body, slot).await,
         Err(problem) => Reply::Problem(problem),
     }
 }
 
-async fn admit(daemon: &Arc<Daemon>, errand: &Errand, may_wait: bool) -> Result<Slot, Problem> {
+async fn admit(daemon: &Arc<Daemon>, errand: &Errand, terms: Terms) -> Result<Slot, Problem> {
     if errand.intake.service != daemon.settings.service {
         let detail = format!(
             "this target belongs to service '{}'",
@@ -46,8 +46,8 @@
     let demand = Demand {
         weight: errand.intake.weight,
         deadline: errand.deadline,
-        suspect: verdict == Verdict::Alone,
-        may_wait,
+        suspect: terms.suspect || verdict == Verdict::Alone,
+        may_wait: terms.may_wait,
         fingerprint: errand.fingerprint,
     };
     check_trust(daemon)?;
--- a/crates/basilbay_daemon/tests/common/call.rs
+++ b/crates/basilbay_daemon/tests/common/call.rs
@@ -92,6 +92,7 @@
             timeout_ms,
             allowance: 0,
             may_wait: true,
+            suspect: false,
             depth: 0,
             origin: "tests".into(),
             config_version: 1,
--- a/crates/basilbay_daemon/tests/intake.rs
+++ b/crates/basilbay_daemon/tests/intake.rs
@@ -142,6 +142,7 @@
         timeout_ms: 1000,
         allowance: 0,
         may_wait: true,
+        suspect: false,
         depth: 0,
         origin: "desk-9".into(),
         config_version: 1,
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -124,6 +124,11 @@
         self.may_have_run |= outcome == Outcome::Unknown;
     }
 
+    /// Whether an attempt ended without saying that the request has not run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
     /// Whether a second attempt may run beside the first, which has not answered for long. It is
     /// a second run like any other: it needs the allowance and the budget.
     pub fn hedge(&mut self, budget: &mut Budget, now: Instant) -> bool {
--- a/crates/basilbay_wire/src/hop.rs
+++ b/crates/basilbay_wire/src/hop.rs
@@ -45,6 +45,9 @@
     /// once.
     #[serde(default = "waits")]
     pub may_wait: bool,
+    /// Whether an earlier attempt broke off, so that the request may be what crashed its target.
+    #[serde(default)]
+    pub suspect: bool,
     /// What the receiver is asked to do.
     #[serde(default)]
     pub role: Role,
