--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -17,11 +17,13 @@
 use closed::Reasons;
 
 use crate::limit::{Limit, Sample};
+use crate::pace::Pace;
 use crate::probe::{Report, Restriction};
 use crate::profile::Profile;
 use crate::queue::{self, Queue};
 use crate::ramp::{Answer, Origin, Ramp, Reference};
 use crate::request::{Order, RequestId, Ticket};
+use crate::spell::{Question, Spell, Verdict};
 
 /// How the target is found when the daemon starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,8 +88,13 @@
 #[derive(Debug)]
 pub struct Gate {
     created: Instant,
+    /// Whether an earlier daemon may have handed the target work.
+    found_running: bool,
     limit: Limit,
     ramp: Ramp,
+    pace: Pace,
+    spell: Spell,
+    slow_percent: u32,
     profile: Profile,
     restriction: Option<Restriction>,
     queue: Queue,
@@ -111,8 +118,12 @@
         };
         Self {
             created: now,
+            found_running: start == Start::Restart,
             limit: Limit::new(contract.slots),
             ramp: Ramp::new(contract, origin),
+            pace: Pace::new(contract, start == Start::Restart, now),
+            spell: Spell::default(),
+            slow_percent: contract.slow_percent,
             profile: Profile::default(),
             restriction: None,
             queue: Queue::new(contract.queue),
@@ -138,10 +149,10 @@
             return Decision::Refuse(Cause::BadRequest);
         }
         self.drop_expired_restriction(now);
-        if self.has_room() && !self.queue.is_empty() {
+        if self.has_room(now) && !self.queue.is_empty() {
             self.settle(now);
         }
-        if self.has_room() && !(ticket.suspect && self.suspect_runs) {
+        if self.has_room(now) && !(ticket.suspect && self.suspect_runs) {
             self.start(ticket, now);
             return Decision::Run;
         }
@@ -196,17 +207,21 @@
     }
 
     /// When [`Gate::tick`] next has something to do.
-    pub fn next_deadline(&self) -> Option<Instant> {
+    pub fn next_deadline(&mut self, now: Instant) -> Option<Instant> {
         let queue = self.queue.next_deadline(self.profile.recent())?;
         let restriction = self
             .restriction
             .map_or(queue, |restriction| restriction.until);
-        Some(queue.min(restriction))
+        let pace = self.pace.next_at(now).unwrap_or(queue);
+        Some(queue.min(restriction).min(pace))
     }
 
     /// Takes another contract into force.
     pub fn set_contract(&mut self, contract: &Contract, now: Instant) {
         self.limit.set_slots(contract.slots);
+        self.limit.set_rule(contract.limit);
+        self.set_pace(contract, now);
+        self.slow_percent = contract.slow_percent;
         self.ramp.set_contract(contract);
         self.queue.set_bound(contract.queue);
         self.settle(now);
@@ -230,9 +245,12 @@
     ///
     /// A target that was closed got no work and may have turned cold meanwhile, as the targets of a
     /// failure domain do that was out; one that was down may be a new process.
-    pub fn set_state(&mut self, reason: Closed, holds: bool) {
+    pub fn set_state(&mut self, reason: Closed, holds: bool, now: Instant) {
         let reopens = !holds && self.reasons.contains(reason);
         self.reasons.set(reason, holds);
+        if reopens && matches!(reason, Closed::Out | Closed::Down) {
+            self.pace.cool(now);
+        }
         match reason {
             Closed::Out if reopens => self.ramp.rested(self.next_order),
             Closed::Down if reopens => self.ramp.returned(self.next_order),
@@ -250,6 +268,35 @@
         self.reasons.contains(reason)
     }
 
+    /// Takes what the target says of its cold start: how much longer it lasts.
+    pub fn observe_cold(&mut self, left: Duration, now: Instant) {
+        self.pace.observe(left, now);
+        self.settle(now);
+    }
+
+    /// Takes a look at the target's speed: the time that work takes, in percent of the usual.
+    pub fn observe_pace(&mut self, percent: u32, now: Instant) {
+        self.spell.note(percent, now);
+    }
+
+    /// Decides whether this is the moment to hand a request to the target.
+    pub fn judge(&self, goal_at: Instant, may_move: bool, may_look: bool, now: Instant) -> Verdict {
+        let question = Question {
+            threshold: self.slow_percent,
+            goal_at,
+            usual: self.profile.recent(),
+            may_move,
+            may_look,
+        };
+        self.spell.judge(question, now)
+    }
+
+    /// Notes that another run of the target took the place of the one before.
+    pub fn replaced(&mut self, now: Instant) {
+        self.pace.cool(now);
+        self.ramp.returned(self.next_order);
+    }
+
     /// Holds a report of the target's load endpoint against the gate's own knowledge.
     pub fn observe_report(&mut self, report: Report, now: Instant) {
         let own_limit = self.limit.allowed().min(self.ramp.allowed());
@@ -274,6 +321,7 @@
             queued: self.queue.len() as u32,
             latency_us: u32::try_from(latency).unwrap_or(u32::MAX),
             state: self.state(),
+            is_slowed: self.spell.is_slow(self.slow_percent),
         }
     }
 
@@ -281,14 +329,17 @@
     pub fn state(&self) -> State {
         match self.reasons.first() {
             Some(reason) => reason.state(),
-            None if self.ramp.is_cold() => State::Cold,
+            None if self.ramp.is_cold() || self.pace.is_cold() => State::Cold,
             None => State::Warm,
         }
     }
 
     /// Requests that may run at this moment, by the least of all limits.
     pub fn limit(&self) -> u32 {
-        let own = self.limit.allowed().min(self.ramp.allowed());
+        let mut own = self.limit.allowed().min(self.ramp.allowed());
+        if self.pace.is_cold() {
+            own = own.min(self.pace.concurrent());
+        }
         self.restriction
             .map_or(own, |restriction| restriction.allowed.min(own))
     }
@@ -308,6 +359,15 @@
         self.running.is_empty() && self.queue.is_empty()
     }
 
+    /// A contract that states a rate for the first time finds a target of which nothing is known.
+    fn set_pace(&mut self, contract: &Contract, now: Instant) {
+        if self.pace.is_set() || contract.cold_rate == 0 {
+            self.pace.set_contract(contract);
+            return;
+        }
+        self.pace = Pace::new(contract, self.found_running, now);
+    }
+
     fn running_index(&self, id: RequestId) -> Result<usize, usize> {
         self.running.binary_search_by_key(&id, |running| running.id)
     }
@@ -319,8 +379,8 @@
         self.queue.contains(id).then_some(Place::Waiting)
     }
 
-    fn has_room(&self) -> bool {
-        self.running.len() < self.limit() as usize
+    fn has_room(&mut self, now: Instant) -> bool {
+        self.pace.admits(now) && self.running.len() < self.limit() as usize
     }
 
     fn start(&mut self, ticket: Ticket, now: Instant) {
@@ -335,6 +395,7 @@
         };
         self.running.insert(index, running);
         self.next_order += 1;
+        self.pace.start(now);
         self.suspect_runs |= ticket.suspect;
         self.peak = self.peak.max(self.running.len() as u32);
     }
@@ -417,7 +478,7 @@
     }
 
     fn start_waiting(&mut self, now: Instant) {
-        while self.has_room() {
+        while self.has_room(now) {
             let Some(ticket) = self.queue.pop(self.suspect_runs, now) else {
                 return;
             };
--- a/crates/basilbay_admission/src/lib.rs
+++ b/crates/basilbay_admission/src/lib.rs
@@ -12,8 +12,10 @@
 
 pub mod gate;
 pub mod limit;
+pub mod pace;
 pub mod probe;
 pub mod profile;
 pub mod queue;
 pub mod ramp;
 pub mod request;
+pub mod spell;
--- a/crates/basilbay_admission/src/limit.rs
+++ b/crates/basilbay_admission/src/limit.rs
@@ -10,6 +10,8 @@
 use std::mem;
 use std::time::{Duration, Instant};
 
+use basilbay_model::service::LimitRule;
+
 use crate::profile::Profile;
 use crate::request::Order;
 
@@ -115,6 +117,7 @@
 #[derive(Clone, Debug)]
 pub struct Limit {
     slots: u32,
+    rule: LimitRule,
     value: f64,
     /// By how much the next good window lets it grow.
     step: f64,
@@ -132,6 +135,7 @@
         let value = f64::from(slots.max(1));
         Self {
             slots: slots.max(1),
+            rule: LimitRule::Adaptive,
             value,
             step: value.sqrt(),
             proven: true,
@@ -143,8 +147,16 @@
 
     /// Requests that may run.
     pub fn allowed(&self) -> u32 {
-        // The value is between 1 and `slots`, which fits.
-        self.value as u32
+        match self.rule {
+            LimitRule::Fixed => self.slots,
+            // The value is between 1 and `slots`, which fits.
+            LimitRule::Adaptive => self.value as u32,
+        }
+    }
+
+    /// Takes another rule.
+    pub fn set_rule(&mut self, rule: LimitRule) {
+        self.rule = rule;
     }
 
     /// Takes another number of slots; a higher one is approached by growth.
--- /dev/null
+++ b/crates/basilbay_admission/src/pace.rs
@@ -0,0 +1,109 @@
+//! Requests that a cold target is handed in any second.
+//!
+//! A contract may state the rate that a target in cold start bears. Starts are counted while the
+//! target is warm too: one that turns cold unseen has had a second's worth already.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use basilbay_model::service::Contract;
+
+/// Span over which starts are counted; the rate is stated for a second.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Part of the rate that an earlier daemon may have used in the second before this one started.
+const EARLIER_PART: u32 = 2;
+
+/// Part of the rate that a cold target runs at the same time: a quarter of a second's requests.
+const CONCURRENT_PART: u32 = 4;
+
+/// The pace of one target.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    rate: u32,
+    cold: Duration,
+    cold_until: Option<Instant>,
+    starts: VecDeque<Instant>,
+}
+
+impl Pace {
+    /// The pace of a target that is found at `now`; with `earlier`, another daemon may have handed
+    /// it requests until then.
+    pub fn new(contract: &Contract, earlier: bool, now: Instant) -> Self {
+        let mut pace = Self {
+            rate: contract.cold_rate,
+            cold: contract.cold,
+            cold_until: Some(now + contract.cold),
+            starts: VecDeque::new(),
+        };
+        if earlier {
+            let used = contract.cold_rate.div_ceil(EARLIER_PART);
+            pace.starts.extend((0..used).map(|_| now));
+        }
+        pace
+    }
+
+    /// Whether the contract states a rate.
+    pub fn is_set(&self) -> bool {
+        self.rate > 0
+    }
+
+    /// Takes another contract.
+    pub fn set_contract(&mut self, contract: &Contract) {
+        self.rate = contract.cold_rate;
+        self.cold = contract.cold;
+    }
+
+    /// Assumes that the target is cold from now on: it started, or got no work for a while.
+    pub fn cool(&mut self, now: Instant) {
+        self.cold_until = Some(now + self.cold);
+    }
+
+    /// Takes what the target says of itself: how much longer it stays cold.
+    pub fn observe(&mut self, left: Duration, now: Instant) {
+        self.cold_until = (!left.is_zero()).then(|| now + left);
+    }
+
+    /// Whether the target counts as cold.
+    pub fn is_cold(&self) -> bool {
+        self.is_set() && self.cold_until.is_some()
+    }
+
+    /// Requests that may run at the same time while the target is cold.
+    pub fn concurrent(&self) -> u32 {
+        (self.rate / CONCURRENT_PART).max(1)
+    }
+
+    /// Whether a request may start now.
+    pub fn admits(&mut self, now: Instant) -> bool {
+        self.review(now);
+        !self.is_cold() || self.starts.len() < self.rate as usize
+    }
+
+    /// When the next request may start, if none may now.
+    pub fn next_at(&mut self, now: Instant) -> Option<Instant> {
+        if self.admits(now) {
+            return None;
+        }
+        let passed = self.starts.front().map(|first| *first + WINDOW);
+        passed.into_iter().chain(self.cold_until).min()
+    }
+
+    /// Notes a start.
+    pub fn start(&mut self, now: Instant) {
+        if self.is_set() {
+            self.review(now);
+            self.starts.push_back(now);
+        }
+    }
+
+    fn review(&mut self, now: Instant) {
+        self.cold_until = self.cold_until.filter(|until| now < *until);
+        while let Some(first) = self.starts.front() {
+            if now.saturating_duration_since(*first) < WINDOW {
+                break;
+            }
+            self.starts.pop_front();
+        }
+    }
+}
--- a/crates/basilbay_admission/src/probe.rs
+++ b/crates/basilbay_admission/src/probe.rs
@@ -4,13 +4,10 @@
 
 use basilbay_model::service::Contract;
 
-/// Shortest time between two probes, however cheap they are.
-const MIN_GAP: Duration = Duration::from_secs(1);
-
 /// Parts in the whole of a share in parts per thousand.
 const PERMILLE: u32 = 1000;
 
-/// How long a report applies; 3 probes at the shortest gap.
+/// How long a report applies; 3 probes at the default gap.
 const REPORT_LIFE: Duration = Duration::from_secs(3);
 
 /// Rounds of usual answers that refute a report.
@@ -24,6 +21,7 @@
 pub struct Budget {
     permille: u32,
     cost: Duration,
+    least_gap: Duration,
     last: Instant,
 }
 
@@ -33,6 +31,7 @@
         Self {
             permille: contract.probe_permille,
             cost: contract.probe_cost,
+            least_gap: contract.probe_gap,
             last: now,
         }
     }
@@ -41,15 +40,20 @@
     pub fn set_contract(&mut self, contract: &Contract) {
         self.permille = contract.probe_permille;
         self.cost = contract.probe_cost;
+        self.least_gap = contract.probe_gap;
     }
 
     /// When the next probe may be sent; never with a share of 0.
     pub fn due(&self) -> Option<Instant> {
-        if self.permille == 0 {
-            return None;
+        self.last.checked_add(self.interval())
+    }
+
+    /// Time between two probes, as far as the contract goes.
+    pub fn interval(&self) -> Duration {
+        match self.permille {
+            0 => Duration::MAX,
+            permille => (self.cost.saturating_mul(PERMILLE) / permille).max(self.least_gap),
         }
-        let gap = self.cost.saturating_mul(PERMILLE) / self.permille;
-        self.last.checked_add(gap.max(MIN_GAP))
     }
 
     /// Whether a probe may be sent now; true counts it as sent.
--- a/crates/basilbay_admission/src/ramp.rs
+++ b/crates/basilbay_admission/src/ramp.rs
@@ -99,6 +99,8 @@
     slots: u32,
     cold_slots: u32,
     warm_after: u32,
+    /// Whether cold targets are bounded by the rate of their contract in place of the ramp.
+    paced: bool,
     climb: Option<Climb>,
     far: u32,
     reference: Option<Reference>,
@@ -115,6 +117,7 @@
             slots: 1,
             cold_slots: 1,
             warm_after: 0,
+            paced: false,
             climb: None,
             far: 0,
             reference: None,
@@ -128,11 +131,14 @@
 
     /// Whether the target counts as cold.
     pub fn is_cold(&self) -> bool {
-        self.climb.is_some()
+        self.climb.is_some() && !self.paced
     }
 
     /// Requests that may run.
     pub fn allowed(&self) -> u32 {
+        if self.paced {
+            return self.slots;
+        }
         match &self.climb {
             Some(climb) => self.bottom(climb),
             None => self.opened.min(self.slots),
@@ -150,6 +156,7 @@
         self.slots = contract.slots.max(1);
         self.cold_slots = contract.cold_slots.clamp(1, self.slots);
         self.warm_after = contract.warm_after;
+        self.paced = contract.cold_rate > 0;
         self.leave_when_done();
     }
 
--- a/crates/basilbay_admission/tests/gate.rs
+++ b/crates/basilbay_admission/tests/gate.rs
@@ -76,25 +76,25 @@
     let mut gate = Gate::new(&contract(1, 1, 1, 0), Start::Fresh, now);
     gate.offer(ticket(1, now), now);
     gate.offer(ticket(2, now), now);
-    gate.set_state(Closed::Out, true);
+    gate.set_state(Closed::Out, true, now);
     let refused = Action::Refuse(2, Cause::ServiceOut);
     assert_eq!(actions(&mut gate), [refused]);
-    gate.set_state(Closed::Leaving, true);
-    gate.set_state(Closed::Out, false);
+    gate.set_state(Closed::Leaving, true, now);
+    gate.set_state(Closed::Out, false, now);
     assert_eq!(gate.load().state, State::Leaving);
     let refused = gate.offer(ticket(3, now), now);
     assert_eq!(refused, Decision::Refuse(Cause::Leaving));
-    gate.set_state(Closed::Leaving, false);
+    gate.set_state(Closed::Leaving, false, now);
     assert_eq!(gate.running(), 1);
     assert_eq!(gate.offer(ticket(4, now), now), Decision::Wait);
     for (reason, cause) in [
         (Closed::Unconfirmed, Cause::Unconfirmed),
         (Closed::Down, Cause::NoCapacity),
     ] {
-        gate.set_state(reason, true);
+        gate.set_state(reason, true, now);
         let refused = gate.offer(ticket(5, now), now);
         assert_eq!(refused, Decision::Refuse(cause));
-        gate.set_state(reason, false);
+        gate.set_state(reason, false, now);
     }
 }
 
@@ -303,7 +303,7 @@
                 if on {
                     self.closed.push(reason);
                 }
-                self.gate.set_state(reason, on);
+                self.gate.set_state(reason, on, self.now);
             }
             Step::Replace(contract) => {
                 self.contract = contract;
@@ -329,7 +329,7 @@
         assert!(self.waiting.len() <= self.contract.queue as usize);
         assert!(self.closed.is_empty() || self.waiting.is_empty());
         assert!((1..=self.contract.slots).contains(&self.gate.limit()));
-        let due = self.gate.next_deadline();
+        let due = self.gate.next_deadline(self.now);
         assert!(self.waiting.is_empty() || due.is_some());
         let load = self.gate.load();
         assert_eq!(load.in_flight as usize, self.running.len());
@@ -359,11 +359,11 @@
         let mut model = Model::new(contract(2, 6, 1, 5), Start::Fresh);
         for step in steps {
             model.apply(step);
-            if let Some(due) = model.gate.next_deadline() {
+            if let Some(due) = model.gate.next_deadline(model.now) {
                 model.now = model.now.max(due);
                 model.gate.tick(model.now);
                 model.absorb();
-                prop_assert!(model.gate.next_deadline().is_none_or(|next| next > model.now));
+                prop_assert!(model.gate.next_deadline(model.now).is_none_or(|next| next > model.now));
             }
         }
     }
--- /dev/null
+++ b/crates/basilbay_admission/tests/pace.rs
@@ -0,0 +1,111 @@
+//! The rate of a cold target: no second may bring it more than its contract states.
+
+#[path = "support/request.rs"]
+mod request;
+
+use std::time::{Duration, Instant};
+
+use basilbay_admission::gate::{Action, Closed, Completion, Decision, Gate, Start};
+use basilbay_model::service::Contract;
+use request::ticket;
+
+fn contract() -> Contract {
+    Contract {
+        cold_rate: 10,
+        cold: Duration::from_secs(3),
+        queue: 100,
+        ..Contract::default()
+    }
+}
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Offers one request every 10 ms that ends at once; returns when each was started.
+fn stream(gate: &mut Gate, from: Instant, count: u64) -> Vec<Instant> {
+    let mut starts = Vec::new();
+    let mut next = 0;
+    for step in 0..count {
+        let now = from + millis(10 * step);
+        next += 1;
+        gate.tick(now);
+        if gate.offer(ticket(1000 * count + next, 1, 60_000, now), now) == Decision::Run {
+            starts.push(now);
+            gate.complete(1000 * count + next, Completion::Answered, now);
+        }
+        for action in gate.drain_actions().collect::<Vec<_>>() {
+            if let Action::Start(id) = action {
+                starts.push(now);
+                gate.complete(id, Completion::Answered, now);
+            }
+        }
+    }
+    starts
+}
+
+fn most_in_a_second(starts: &[Instant]) -> usize {
+    let count = |first: &Instant| {
+        let within = |start: &&Instant| **start >= *first && **start < *first + millis(1000);
+        starts.iter().filter(within).count()
+    };
+    starts.iter().map(count).max().unwrap_or(0)
+}
+
+/// Guards against a cold target that is handed more than its rate in some second.
+#[test]
+fn rate_holds() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(), Start::Fresh, now);
+    let starts = stream(&mut gate, now, 290);
+    assert_eq!(most_in_a_second(&starts), 10);
+    assert!(starts.len() >= 25, "{} starts in 2.9 s", starts.len());
+}
+
+/// Guards against a target that stays at the cold rate after its cold start is over.
+#[test]
+fn warm_again() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(), Start::Fresh, now);
+    let later = now + millis(3001);
+    assert_eq!(stream(&mut gate, later, 50).len(), 50);
+}
+
+/// Guards against a second daemon that hands a cold target a second's worth right after the first
+/// one, which it knows nothing of, did the same.
+#[test]
+fn restart_counts() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(), Start::Restart, now);
+    assert_eq!(stream(&mut gate, now, 90).len(), 5);
+}
+
+/// Guards against full load on a target that turned cold while it was closed.
+#[test]
+fn reopened_cold() {
+    for reason in [Closed::Out, Closed::Down] {
+        let now = Instant::now();
+        let mut gate = Gate::new(&contract(), Start::Fresh, now);
+        gate.observe_cold(Duration::ZERO, now);
+        gate.set_state(reason, true, now);
+        let back = now + millis(1500);
+        gate.set_state(reason, false, back);
+        assert_eq!(stream(&mut gate, back, 90).len(), 10);
+        gate.observe_cold(Duration::ZERO, back + millis(950));
+        // Those that waited start too.
+        assert!(stream(&mut gate, back + millis(950), 20).len() >= 20);
+    }
+}
+
+/// Guards against starts on a target that was warm a moment ago being forgotten when it says that
+/// it has turned cold.
+#[test]
+fn cold_unseen() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(), Start::Fresh, now);
+    gate.observe_cold(Duration::ZERO, now);
+    assert_eq!(stream(&mut gate, now, 30).len(), 30);
+    let turned = now + millis(300);
+    gate.observe_cold(millis(2000), turned);
+    assert_eq!(stream(&mut gate, turned, 60).len(), 0);
+}
--- a/crates/basilbay_admission/tests/ramp.rs
+++ b/crates/basilbay_admission/tests/ramp.rs
@@ -177,15 +177,15 @@
 fn back_from_out() {
     let mut rounds = Rounds::new();
     rounds.answer(600, 10);
-    rounds.gate.set_state(Closed::Out, true);
-    rounds.gate.set_state(Closed::Out, false);
+    rounds.gate.set_state(Closed::Out, true, rounds.now);
+    rounds.gate.set_state(Closed::Out, false, rounds.now);
     assert_eq!(rounds.gate.limit(), 2);
     rounds.answer(100, 40);
     assert_eq!(rounds.gate.limit(), 2);
     let mut warm = Rounds::new();
     warm.answer(600, 10);
-    warm.gate.set_state(Closed::Out, true);
-    warm.gate.set_state(Closed::Out, false);
+    warm.gate.set_state(Closed::Out, true, warm.now);
+    warm.gate.set_state(Closed::Out, false, warm.now);
     // One that stayed warm shows it with its first answers.
     warm.answer(30, 10);
     assert_eq!(warm.gate.limit(), 18);
@@ -196,8 +196,8 @@
 fn back_from_down() {
     let mut rounds = Rounds::new();
     rounds.answer(600, 10);
-    rounds.gate.set_state(Closed::Down, true);
-    rounds.gate.set_state(Closed::Down, false);
+    rounds.gate.set_state(Closed::Down, true, rounds.now);
+    rounds.gate.set_state(Closed::Down, false, rounds.now);
     rounds.answer(199, 10);
     assert_eq!(rounds.gate.limit(), 2);
 }
--- a/crates/basilbay_admission/tests/shedding.rs
+++ b/crates/basilbay_admission/tests/shedding.rs
@@ -60,7 +60,7 @@
     assert_eq!(gate.offer(ticket(2, 1, 9, now), now), late);
     assert_eq!(gate.offer(ticket(3, 1, 50, now), now), Decision::Wait);
     let last = now + Duration::from_millis(40);
-    assert_eq!(gate.next_deadline(), Some(last));
+    assert_eq!(gate.next_deadline(now), Some(last));
     gate.tick(last - Duration::from_micros(1));
     assert_eq!(actions(&mut gate), []);
     gate.tick(last);
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -12,6 +12,7 @@
 use basilbay_admission::gate::{Action, Closed, Completion, Decision, Gate, Place, Start};
 use basilbay_admission::probe::Report;
 use basilbay_admission::request::{RequestId, Ticket};
+use basilbay_admission::spell::Verdict;
 use basilbay_model::service::Contract;
 use basilbay_wire::load::{Load, State};
 use basilbay_wire::problem::{Cause, Problem};
@@ -19,9 +20,12 @@
 /// Result of asking for a slot.
 pub type Result<T> = std::result::Result<T, Problem>;
 
-/// Time between two looks at the queue while requests wait.
+/// Shortest time between two looks at the queue while requests wait.
 const TICK: Duration = Duration::from_millis(2);
 
+/// Time beyond that after which the queue is looked at in any case.
+const LATEST_TICK: Duration = Duration::from_millis(20);
+
 /// Time for which a cancelled request keeps its slot: the target needs a moment to notice that
 /// its connection was closed, and runs the request until then.
 const CANCEL_GRACE: Duration = Duration::from_millis(5);
@@ -167,10 +171,33 @@
     /// Sets or clears a reason for taking no new work.
     pub fn set_state(&self, reason: Closed, holds: bool) {
         let mut desk = self.lock();
-        desk.gate.set_state(reason, holds);
+        desk.gate.set_state(reason, holds, Instant::now());
         desk.act();
     }
 
+    /// Takes what the target says of its cold start: how much longer it lasts.
+    pub fn observe_cold(&self, left: Duration) {
+        let mut desk = self.lock();
+        desk.gate.observe_cold(left, Instant::now());
+        desk.act();
+    }
+
+    /// Takes a look at the target's speed.
+    pub fn observe_pace(&self, percent: u32) {
+        self.lock().gate.observe_pace(percent, Instant::now());
+    }
+
+    /// Decides whether this is the moment to hand a request to the target.
+    pub fn judge(&self, goal_at: Instant, may_move: bool, may_look: bool) -> Verdict {
+        let now = Instant::now();
+        self.lock().gate.judge(goal_at, may_move, may_look, now)
+    }
+
+    /// Notes that another run of the target took the place of the one before.
+    pub fn replaced(&self) {
+        self.lock().gate.replaced(Instant::now());
+    }
+
     /// Holds a report of the target against what the gate knows.
     pub fn observe(&self, report: Report) {
         let mut desk = self.lock();
@@ -196,17 +223,20 @@
     pub async fn drive(self: Arc<Self>) {
         loop {
             self.queued.notified().await;
-            while self.tick() {
-                tokio::time::sleep(TICK).await;
+            while let Some(due_at) = self.tick() {
+                let next = Instant::now() + TICK;
+                tokio::time::sleep_until(due_at.clamp(next, next + LATEST_TICK).into()).await;
             }
         }
     }
 
-    fn tick(&self) -> bool {
+    /// Lets the gate act; returns when it has something to do next, while requests wait.
+    fn tick(&self) -> Option<Instant> {
         let mut desk = self.lock();
-        desk.gate.tick(Instant::now());
+        let now = Instant::now();
+        desk.gate.tick(now);
         desk.act();
-        desk.gate.queued() > 0
+        (desk.gate.queued() > 0).then(|| desk.gate.next_deadline(now).unwrap_or(now))
     }
 
     fn slot(self: &Arc<Self>, desk: &mut Desk, id: RequestId, fingerprint: u64) -> Slot {
--- a/crates/basilbay_daemon/src/answer.rs
+++ b/crates/basilbay_daemon/src/answer.rs
@@ -7,14 +7,23 @@
 };
 use http::{Response, StatusCode};
 
+use basilbay_wire::dialect::{Dialect, Statuses};
 use basilbay_wire::header;
-use basilbay_wire::problem::{self, Problem};
+use basilbay_wire::problem::{self, Cause, Problem};
 
 use crate::body::{self, Body};
 
 /// Seconds after which a refused caller may try again.
 const RETRY_AFTER_SECONDS: HeaderValue = HeaderValue::from_static("1");
 
+/// Seconds after which a caller that found all targets full may try again, least and most: the
+/// spread keeps callers that were refused together from coming back together.
+const RETRY_FULL: (f64, f64) = (0.2, 0.6);
+
+/// Seconds after which a caller may try again whose request met a daemon or target that was going
+/// or coming, least and most: a peer takes over as soon as the news is there.
+const RETRY_ELSEWHERE: (f64, f64) = (0.1, 0.4);
+
 /// Headers that belong to one connection only.
 const CONNECTION_HEADERS: [HeaderName; 7] = [
     CONNECTION,
@@ -35,10 +44,11 @@
 }
 
 /// Makes the answer for a problem.
-pub fn of_problem(problem: &Problem, instance: &str) -> Response<Body> {
-    let document = problem.document(instance);
+pub fn of_problem(problem: &Problem, instance: &str, dialect: &Dialect) -> Response<Body> {
+    let status = dialect.status(problem);
+    let mut document = problem.document(instance);
+    document.status = status.as_u16();
     let text = serde_json::to_vec(&document).unwrap_or_default();
-    let status = problem.cause.status();
     let mut response = Response::new(body::full(Bytes::from(text)));
     *response.status_mut() = status;
     let headers = response.headers_mut();
@@ -51,11 +61,43 @@
         HeaderValue::from_static(problem.outcome.as_str()),
     );
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        headers.insert(RETRY_AFTER, RETRY_AFTER_SECONDS);
+        headers.insert(RETRY_AFTER, retry_after(problem.cause, dialect));
     }
     response
 }
 
+/// The bytes of an answer to a connection that ends with it, where there is no request to answer.
+pub fn last_words(problem: &Problem, instance: &str, dialect: &Dialect) -> Vec<u8> {
+    let status = dialect.status(problem);
+    let mut document = problem.document(instance);
+    document.status = status.as_u16();
+    let text = serde_json::to_vec(&document).unwrap_or_default();
+    let mut bytes = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: {}\r\n{}: {}\r\ncontent-length: {}\r\n\
+         connection: close\r\n\r\n",
+        problem::CONTENT_TYPE,
+        header::OUTCOME,
+        problem.outcome.as_str(),
+        text.len(),
+    )
+    .into_bytes();
+    bytes.extend_from_slice(&text);
+    bytes
+}
+
+/// When a refused caller may try again.
+fn retry_after(cause: Cause, dialect: &Dialect) -> HeaderValue {
+    if dialect.statuses == Statuses::Cause {
+        return RETRY_AFTER_SECONDS;
+    }
+    let (least, most) = match cause {
+        Cause::NoCapacity | Cause::TargetBusy => RETRY_FULL,
+        _ => RETRY_ELSEWHERE,
+    };
+    let seconds = least + fastrand::f64() * (most - least);
+    HeaderValue::try_from(format!("{seconds:.3}")).unwrap_or(RETRY_AFTER_SECONDS)
+}
+
 /// Drops the headers that must not travel on, those named by `Connection` included.
 pub fn strip_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -81,8 +123,8 @@
 }
 
 /// Puts a header with a value that is known to be valid text.
-pub fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
+pub fn put(headers: &mut HeaderMap, name: &str, value: &str) {
+    if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_str(value)) {
         headers.insert(name, value);
     }
 }
--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -8,16 +8,15 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use tokio::net::UdpSocket;
 use tokio::task::AbortHandle;
 
 use basilbay_membership::action::{Action, Origin, Source};
 use basilbay_membership::node::{Identity, Node};
-use basilbay_membership::reader::{PLATFORM_TIMEOUT, WATCH_WAIT};
 use basilbay_membership::{pull, standing::Standing};
 use basilbay_model::id::{InstanceId, Version};
-use basilbay_model::roster::{Roster, Stamp};
+use basilbay_model::roster::Stamp;
 use basilbay_wire::control::{CONFIG_PATH, ConfigBody, ROSTER_PATH, RosterBody};
 use basilbay_wire::datagram::{Body as Message, Datagram};
 use basilbay_wire::frame::{self, FORMAT, MAX_CONTROL_BYTES, MAX_DATAGRAM_BYTES};
@@ -25,8 +24,9 @@
 
 use crate::body::{self, Body};
 use crate::daemon::Daemon;
+use crate::report;
+use crate::source::News;
 use crate::traffic::Traffic;
-use crate::{platform, report};
 
 /// Result of a pull.
 pub type Result<T> = anyhow::Result<T>;
@@ -41,12 +41,12 @@
     socket: UdpSocket,
     watch: Mutex<Option<AbortHandle>>,
     /// What control costs on the network.
-    pub traffic: Traffic,
+    pub traffic: Arc<Traffic>,
 }
 
 impl Control {
     /// Binds the socket for datagrams.
-    pub async fn bind(identity: Identity, seed: u64) -> Result<Self> {
+    pub async fn bind(identity: Identity, seed: u64, traffic: Arc<Traffic>) -> Result<Self> {
         let address = identity.peer;
         let socket = UdpSocket::bind(address)
             .await
@@ -55,7 +55,7 @@
             node: Mutex::new(Node::new(identity, seed, Instant::now())),
             socket,
             watch: Mutex::new(None),
-            traffic: Traffic::default(),
+            traffic,
         })
     }
 
@@ -182,6 +182,7 @@
         Action::ConfigInForce(config) => daemon.set_config(config),
         Action::RosterInForce(roster) => daemon.set_roster(roster),
         Action::Left(id) => daemon.note_left(&id),
+        Action::Back(id) => daemon.note_back(&id),
         Action::Emit(event) => report::membership(&event),
         Action::Paused => {
             daemon.close_while_unconfirmed(true);
@@ -216,62 +217,63 @@
 }
 
 async fn read_config(daemon: &Daemon, from: &Origin, after: Option<Version>) {
-    let address = daemon.settings.config_service;
-    let (uri, patience) = match after {
-        Some(after) => {
-            let wait_ms = WATCH_WAIT.as_millis();
-            let uri = format!("http://{address}/config?after={after}&wait_ms={wait_ms}");
-            (uri, WATCH_WAIT + PLATFORM_TIMEOUT)
-        }
-        None => (format!("http://{address}/config"), PLATFORM_TIMEOUT),
+    let read = match after {
+        Some(after) => daemon.source.watch(after).await,
+        None => daemon.source.config().await,
     };
-    let read = platform::get(daemon, &uri, patience).await;
     let now = Instant::now();
     let mut node = daemon.control.node();
     match read {
-        Ok((StatusCode::NOT_MODIFIED, _)) => node.config_unchanged(from, now),
-        Ok((_, bytes)) => match String::from_utf8(bytes) {
-            Ok(text) => node.config_text(&Arc::from(text), from, now),
-            Err(_) => node.config_failed(from, now),
-        },
-        Err(_) => node.config_failed(from, now),
+        Ok(news) => {
+            // First the configuration: the roster may name instances of services that it adds.
+            match news.config {
+                Some(text) => node.config_text(&text, from, now),
+                None => node.config_unchanged(from, now),
+            }
+            if let Some(roster) = news.roster {
+                node.roster(Arc::new(roster), from, now);
+            }
+        }
+        Err(error) => {
+            tracing::info!(error = format!("{error:#}"), "configuration not read");
+            node.config_failed(from, now);
+        }
     }
 }
 
 async fn pull_roster(daemon: Arc<Daemon>, from: Origin, have: Version) {
     let pulled = match &from.source {
-        Source::Platform => read_roster(&daemon, have).await,
+        Source::Platform => daemon.source.roster(have).await,
         Source::Peer { id, address } => {
             let path = format!("{ROSTER_PATH}?have={have}");
-            pull::<RosterBody>(&daemon, id, *address, &path)
-                .await
-                .map(|body| body.roster)
+            let pulled = pull::<RosterBody>(&daemon, id, *address, &path).await;
+            pulled.map(|body| News {
+                config: None,
+                roster: Some(body.roster),
+            })
         }
     };
     let now = Instant::now();
     {
         let mut node = daemon.control.node();
         match pulled {
-            Ok(mut roster) => {
+            Ok(news) => {
+                if let Some(text) = news.config {
+                    node.config_text(&text, &from, now);
+                }
+                let mut roster = news.roster.unwrap_or_default();
                 roster.sort();
                 node.roster(Arc::new(roster), &from, now);
             }
-            Err(_) => node.roster_failed(&from, now),
+            Err(error) => {
+                tracing::info!(error = format!("{error:#}"), "instance list not read");
+                node.roster_failed(&from, now);
+            }
         }
     }
     settle(&daemon);
 }
 
-/// Reads the list; a list that knows `have` leaves the instances out while they are unchanged.
-async fn read_roster(daemon: &Daemon, have: Version) -> Result<Roster> {
-    let uri = format!(
-        "http://{}/instances?have={have}",
-        daemon.settings.instance_list
-    );
-    let (_, bytes) = platform::get(daemon, &uri, PLATFORM_TIMEOUT).await?;
-    Ok(serde_json::from_slice(&bytes)?)
-}
-
 async fn pull<T: serde::de::DeserializeOwned>(
     daemon: &Daemon,
     peer: &InstanceId,
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -17,25 +17,29 @@
 use basilbay_membership::node::Identity;
 use basilbay_model::config::{Config, Limits};
 use basilbay_model::domain::State as Wanted;
-use basilbay_model::id::{InstanceId, ServiceId};
-use basilbay_model::roster::{Roster, Stamp, State as Listed};
+use basilbay_model::id::{InstanceId, ServiceId, TargetId};
+use basilbay_model::roster::{Instance, Roster, Stamp, State as Listed};
 use basilbay_model::service::Contract;
 use basilbay_routing::board::CallId;
 use basilbay_routing::push::Publisher;
 use basilbay_routing::router::Router;
 use basilbay_wire::datagram::Body as Message;
+use basilbay_wire::dialect::Dialect;
 use basilbay_wire::load::Load;
 
 use crate::admission::{Admission, Counts};
 use crate::control::{self, Control};
+use crate::gauge::{self, Page};
 use crate::health::{self, Health};
 use crate::home::Registry;
 use crate::link::Links;
-use crate::platform::{self, Connections};
+use crate::platform::{self, Connections, Platform};
 use crate::pool::Pool;
 use crate::server::{self, Side};
 use crate::settings::Settings;
+use crate::source::Source;
 use crate::suspects::Watchlist;
+use crate::traffic::Traffic;
 use crate::trust::Trust;
 use crate::{admin, stop};
 
@@ -73,6 +77,7 @@
             version: 0,
             domains: Vec::new(),
             services: Vec::new(),
+            routes: Vec::new(),
             limits: Limits::default(),
         };
         Self {
@@ -101,6 +106,15 @@
     }
 }
 
+/// What the view says of the own target.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Own {
+    /// Name of its run; `None` while the list does not name one.
+    pub run: Option<TargetId>,
+    /// When that run started.
+    pub born_ms: Option<Stamp>,
+}
+
 /// A daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -118,8 +132,12 @@
     pub registry: Registry,
     /// Links to other daemons.
     pub links: Links,
-    /// Connections to the platform.
-    pub platform: Connections,
+    /// Where configuration and instance list come from.
+    pub source: Arc<dyn Source>,
+    /// Names of the headers of callers and targets.
+    pub dialect: Dialect,
+    /// Connections for probes of the own target.
+    pub probes: Connections,
     /// The membership node.
     pub control: Control,
     /// Whether the view may be acted on.
@@ -128,6 +146,8 @@
     pub metrics: Metrics,
     /// Cancelled when the daemon shall stop.
     pub stop: CancellationToken,
+    own: ArcSwap<Own>,
+    is_stopping: AtomicBool,
     publisher: Mutex<Publisher>,
     view: ArcSwap<View>,
     /// Sorted by service.
@@ -142,9 +162,23 @@
 }
 
 impl Daemon {
-    /// Puts a daemon together.
+    /// Puts a daemon together that reads its own forms of configuration and instance list.
     pub async fn new(settings: Settings) -> Result<Arc<Self>> {
+        let (config_service, instance_list) = (settings.config_service, settings.instance_list);
+        Self::assemble(settings, Dialect::default(), |traffic| {
+            Arc::new(Platform::new(config_service, instance_list, traffic))
+        })
+        .await
+    }
+
+    /// Puts a daemon together for a deployment with a source and header names of its own.
+    pub async fn assemble(
+        settings: Settings,
+        dialect: Dialect,
+        source: impl FnOnce(Arc<Traffic>) -> Arc<dyn Source>,
+    ) -> Result<Arc<Self>> {
         let now = Instant::now();
+        let traffic = Arc::new(Traffic::default());
         let identity = Identity {
             id: settings.id.clone(),
             service: settings.service.clone(),
@@ -160,11 +194,15 @@
             suspects: Watchlist::new(settings.service.clone()),
             registry: Registry::default(),
             links: Links::default(),
-            platform: platform::connections(),
-            control: Control::bind(identity, settings.seed).await?,
+            source: source(traffic.clone()),
+            dialect,
+            probes: platform::connections(),
+            control: Control::bind(identity, settings.seed, traffic).await?,
             trust: Trust::new(now),
-            metrics: Metrics::new(settings.statsd)?,
+            metrics: Metrics::new(settings.statsd, settings.metrics.is_some())?,
             stop: CancellationToken::new(),
+            own: ArcSwap::from_pointee(Own::default()),
+            is_stopping: AtomicBool::new(false),
             publisher: Mutex::new(Publisher::new(now)),
             view: ArcSwap::from_pointee(View::empty()),
             shards: ArcSwap::from_pointee(Vec::new()),
@@ -180,6 +218,17 @@
 
     /// Binds the ports and runs until the daemon is told to stop.
     pub async fn run(self: &Arc<Self>) -> Result<()> {
+        {
+            let mut node = self.control.node();
+            node.set_start_spread(self.settings.start_spread);
+            node.set_serves_alone(self.settings.serves_alone);
+        }
+        if let Some(address) = self.settings.readiness {
+            gauge::serve(self.clone(), address, Page::Readiness).await?;
+        }
+        if let Some(address) = self.settings.metrics {
+            gauge::serve(self.clone(), address, Page::Metrics).await?;
+        }
         let callers = TcpListener::bind(self.settings.callers).await?;
         let peers = TcpListener::bind(self.settings.peers).await?;
         emit!(
@@ -262,21 +311,75 @@
 
     /// Applies a view to the own target: its contract, and whether it takes work at all.
     fn sync_target(&self, view: &View) {
-        let Some(service) = view.config.service(&self.settings.service) else {
+        let service = &self.settings.service;
+        // Another service at the own address means that the list is older than this machine.
+        let listed = view
+            .roster
+            .instance(&self.settings.id)
+            .filter(|instance| instance.service == *service);
+        self.note_own(listed);
+        let Some(service) = view.config.service(service) else {
             self.admission.set_state(Closed::Out, true);
             return;
         };
-        self.pool.set_most(service.contract.connections as usize);
-        self.admission.set_contract(&service.contract);
+        let mut contract = service.contract.clone();
+        if let Some(slots) = listed.and_then(|instance| instance.slots) {
+            contract.slots = slots;
+        }
+        self.pool.set_most(contract.connections as usize);
+        self.admission.set_contract(&contract);
         let is_in = service.state == Wanted::In && view.config.domain_is_in(&self.settings.domain);
         self.admission.set_state(Closed::Out, !is_in);
-        let listed = view.roster.instance(&self.settings.id);
-        if listed.is_some_and(|instance| instance.state == Listed::Leaving) {
-            self.admission.set_state(Closed::Leaving, true);
+        let leaves = listed.is_some_and(|instance| instance.state == Listed::Leaving);
+        // Where runs have names, one that the list does not name has left, or is not there yet.
+        let names_runs = view.roster.names_runs();
+        let is_closed = leaves || (names_runs && listed.is_none()) || self.is_stopping();
+        if is_closed || names_runs {
+            self.admission.set_state(Closed::Leaving, is_closed);
         }
         self.announce();
     }
 
+    /// Takes what the list says of the own target; one that is not listed keeps what it had.
+    fn note_own(&self, listed: Option<&Instance>) {
+        let Some(listed) = listed else {
+            return;
+        };
+        let before = self.own.load_full();
+        let own = Own {
+            run: listed.target.clone(),
+            born_ms: listed.born_ms,
+        };
+        if *before == own {
+            return;
+        }
+        if before.run.is_some() {
+            emit!(catalogue::TARGET_REPLACED, before = ?before.run, run = ?own.run);
+            self.admission.replaced();
+        }
+        self.own.store(Arc::new(own));
+    }
+
+    /// What the view says of the own target.
+    pub fn own(&self) -> Arc<Own> {
+        self.own.load_full()
+    }
+
+    /// Notes that the daemon was asked to stop.
+    pub fn note_stopping(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether the daemon was asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether callers should send new work here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.trust.holds(Instant::now())
+    }
+
     /// What is kept for a service.
     pub fn router(&self, service: &str) -> Option<Arc<Shard>> {
         let shards = self.shards.load();
@@ -343,6 +446,15 @@
         }
     }
 
+    /// Notes that an instance which said that it leaves takes part again.
+    pub fn note_back(&self, id: &InstanceId) {
+        let view = self.view.load();
+        let service = view.roster.instance(id).map(|instance| &instance.service);
+        if let Some(shard) = service.and_then(|service| self.router(service)) {
+            shard.lock().board.rejoin(id);
+        }
+    }
+
     /// Closes the target while the view is not confirmed.
     pub fn close_while_unconfirmed(&self, is_unconfirmed: bool) {
         if self.unconfirmed.swap(is_unconfirmed, Ordering::AcqRel) != is_unconfirmed {
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use http::header::{CONTENT_LENGTH, HeaderMap};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tracing::Instrument;
@@ -48,7 +49,7 @@
         Reply::Answer(response) => response,
         Reply::Problem(problem) => {
             tracing::debug!(%problem, "answered with a problem");
-            answer::of_problem(&problem, &daemon.settings.id)
+            answer::of_problem(&problem, &daemon.settings.id, &daemon.dialect)
         }
     }
 }
@@ -69,9 +70,15 @@
             problem
         });
     }
-    let intake = intake::read(&parts, &daemon.view().config)?;
+    let view = daemon.view();
+    let intake = intake::read(&parts, &view.config, &daemon.dialect, daemon.draw())?;
+    check_body(&parts.headers, view.config.limits.body_bytes)?;
     let trace = Context::from_headers(&parts.headers, daemon.draw()).child(daemon.draw());
     let mut errand = Errand::new(parts, intake, trace, now);
+    let headers = &mut errand.headers;
+    headers.remove(&daemon.dialect.expected_run);
+    let caller = &daemon.settings.service;
+    answer::put(headers, daemon.dialect.caller_service.as_str(), caller);
     let body = Received::read_until(incoming, errand.deadline)
         .await
         .map_err(|problem| errand.intake.of_this_send(problem))?;
@@ -85,6 +92,21 @@
     Ok((errand, body))
 }
 
+/// Refuses a body that is stated to be larger than the limits allow.
+fn check_body(headers: &HeaderMap, most: u64) -> Result<(), Problem> {
+    let stated = headers
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse::<u64>().ok());
+    match stated {
+        Some(length) if length > most => {
+            let detail = format!("{length} bytes of body; at most {most}");
+            Err(Problem::not_run(Cause::BodyTooLarge, detail))
+        }
+        _ => Ok(()),
+    }
+}
+
 async fn dispatch(daemon: &Arc<Daemon>, errand: Errand, body: Received) -> Reply {
     if errand.intake.idempotent {
         return route(daemon, &errand, body).await;
@@ -161,7 +183,10 @@
             Reply::Problem(problem) if is_local(problem) => Some(problem.outcome),
             Reply::Problem(_) => None,
         };
-        if matches!(&reply, Reply::Problem(problem) if problem.cause == Cause::NoCapacity) {
+        let burdens =
+            matches!(&reply, Reply::Problem(problem) if problem.cause == Cause::TargetBusy);
+        let is_passing = |cause| matches!(cause, Cause::NoCapacity | Cause::TargetSlowed);
+        if matches!(&reply, Reply::Problem(problem) if is_passing(problem.cause)) {
             self.tried.full.push(id);
         } else {
             self.tried.failed.push(id);
@@ -173,7 +198,9 @@
         let Some(outcome) = outcome else {
             return false;
         };
-        self.body.is_kept() && self.attempts.again(outcome, budget, Instant::now())
+        // A target that turned the request away itself was burdened by it all the same.
+        let is_paid = !burdens || budget.withdraw(Instant::now());
+        is_paid && self.body.is_kept() && self.attempts.again(outcome, budget, Instant::now())
     }
 
     /// The last word to the caller: an answer of a target if there is one.
--- a/crates/basilbay_daemon/src/errand.rs
+++ b/crates/basilbay_daemon/src/errand.rs
@@ -2,11 +2,13 @@
 
 use std::time::Instant;
 
+use http::header::HOST;
 use http::request::Parts;
 use http::uri::PathAndQuery;
-use http::{HeaderMap, Method, Request, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 
-use basilbay_model::id::{InstanceId, Version};
+use basilbay_model::id::{InstanceId, TargetId, Version};
+use basilbay_wire::dialect::Dialect;
 use basilbay_wire::frame::{self, FORMAT};
 use basilbay_wire::header;
 use basilbay_wire::hop::{Hop, Role};
@@ -43,6 +45,8 @@
     pub headers: HeaderMap,
     /// When the request's time is up.
     pub deadline: Instant,
+    /// When an answer is of full use at the latest.
+    pub goal_at: Instant,
     /// Position in the trace.
     pub trace: Context,
     /// Hash that tells requests apart which crash their target.
@@ -53,11 +57,13 @@
     /// Puts together what the caller sent.
     pub fn new(mut parts: Parts, intake: Intake, trace: Context, now: Instant) -> Self {
         answer::strip_connection_headers(&mut parts.headers);
+        parts.headers.remove(HOST);
         for name in [header::HOP, header::LOAD, header::OUTCOME, header::REPLAYED] {
             parts.headers.remove(name);
         }
         Self {
             deadline: now + intake.timeout,
+            goal_at: now + intake.goal,
             intake,
             method: parts.method,
             path: path_of(&parts.uri),
@@ -69,8 +75,7 @@
 
     /// Milliseconds that are left; 0 once the time is up.
     pub fn timeout_ms(&self, now: Instant) -> u32 {
-        let left = self.deadline.saturating_duration_since(now);
-        u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
+        millis_until(self.deadline, now)
     }
 
     /// The span of one hop; the trace id ties the hops of a call tree together.
@@ -102,6 +107,7 @@
             idempotent: self.intake.idempotent,
             weight: self.intake.weight,
             timeout_ms: self.timeout_ms(now),
+            goal_ms: millis_until(self.goal_at, now),
             allowance: terms.allowance,
             depth: self.intake.depth,
             origin: origin.clone(),
@@ -123,28 +129,46 @@
         );
         let uri = Uri::builder()
             .scheme("http")
-            .authority(&*self.intake.service)
+            .authority(&*self.intake.host)
             .path_and_query(self.path.clone())
             .build();
         if let Ok(uri) = uri {
             *request.uri_mut() = uri;
         }
-        request.headers_mut().remove(http::header::HOST);
         request
     }
 
     /// The request as the target gets it.
-    pub fn to_target(&self, allowance: u8, trace: Context, body: Body) -> Request<Body> {
+    pub fn to_target(
+        &self,
+        allowance: u8,
+        run: Option<&TargetId>,
+        dialect: &Dialect,
+        trace: Context,
+        body: Body,
+    ) -> Request<Body> {
         let mut request = self.request(trace, body);
         let left = self.timeout_ms(Instant::now()).to_string();
         let headers = request.headers_mut();
-        answer::put(headers, header::TIMEOUT_MS, &left);
-        answer::put(headers, header::ALLOWANCE, &allowance.to_string());
-        answer::put(headers, header::DEPTH, &(self.intake.depth + 1).to_string());
-        answer::put(headers, "host", &self.intake.service);
+        answer::put(headers, dialect.timeout_ms.as_str(), &left);
+        answer::put(headers, "host", &self.intake.host);
+        if let Some(run) = run {
+            answer::put(headers, dialect.expected_run.as_str(), run);
+        }
+        if dialect.carries_chain {
+            answer::put(headers, header::ALLOWANCE, &allowance.to_string());
+            answer::put(headers, header::DEPTH, &(self.intake.depth + 1).to_string());
+        } else {
+            headers.remove(header::TRACEPARENT);
+        }
         request
     }
 
+    /// Id that the caller gave this send, if it gave one.
+    pub fn request_id(&self, dialect: &Dialect) -> Option<&HeaderValue> {
+        self.headers.get(&dialect.request_id)
+    }
+
     fn request(&self, trace: Context, body: Body) -> Request<Body> {
         let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
@@ -159,6 +183,11 @@
     }
 }
 
+fn millis_until(at: Instant, now: Instant) -> u32 {
+    let left = at.saturating_duration_since(now);
+    u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn path_of(uri: &Uri) -> PathAndQuery {
     uri.path_and_query()
         .cloned()
--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -1,11 +1,13 @@
 //! Watches the own target: whether it accepts connections, and what its load endpoint says.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use http::Request;
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
 use serde::Deserialize;
 use tokio::net::TcpStream;
 
@@ -16,7 +18,6 @@
 
 use crate::body;
 use crate::daemon::Daemon;
-use crate::platform;
 
 /// Time between two looks at the kept connections.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -37,13 +38,26 @@
 /// Time that the load endpoint has to answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time that a target has to answer a look on behalf of a request, which waits for it.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// Looks in any second on behalf of requests; at most 1 ms each, they take 5% of one slot.
+const MAX_LOOKS: usize = 50;
+
 /// Largest answer of a load endpoint.
 const MAX_REPORT_BYTES: usize = 16 * 1024;
 
+/// Longest cold start that a target is believed to have.
+const MAX_COLD_SECONDS: f64 = 3600.0;
+
+/// Result of a probe.
+pub type Result<T> = anyhow::Result<T>;
+
 /// What is known of the target's process.
 #[derive(Debug, Default)]
 pub struct Health {
     is_down: AtomicBool,
+    looking: tokio::sync::Mutex<Looks>,
     judging: tokio::sync::Mutex<()>,
 }
 
@@ -163,7 +177,8 @@
 pub async fn measure(daemon: Arc<Daemon>) {
     let mut budget: Option<Budget> = None;
     loop {
-        tokio::time::sleep(BUDGET_INTERVAL).await;
+        let interval = budget.as_ref().map_or(BUDGET_INTERVAL, Budget::interval);
+        tokio::time::sleep(interval.min(BUDGET_INTERVAL)).await;
         let view = daemon.view();
         let Some(service) = view.config.service(&daemon.settings.service) else {
             continue;
@@ -174,20 +189,78 @@
         if !budget.take(now) {
             continue;
         }
-        if let Ok(report) = ask(&daemon).await {
-            daemon.admission.observe(report);
+        let asked = match &service.contract.health_path {
+            Some(path) => ask_health(&daemon, path).await,
+            None => ask_load(&daemon).await,
+        };
+        match asked {
+            Ok(report) => daemon.admission.observe(report),
+            Err(error) => tracing::debug!(%error, "probe failed"),
         }
     }
 }
 
-async fn ask(daemon: &Daemon) -> platform::Result<Report> {
-    let uri = format!("http://{}/load", daemon.settings.target);
-    let request = Request::get(uri).body(body::empty())?;
-    let asking = async {
-        let response = daemon.platform.request(request).await?;
-        body::read_all(response.into_body(), MAX_REPORT_BYTES).await
+/// Looks at the target before a request is handed to it, for all requests that ask meanwhile.
+/// False when no look could be taken.
+pub async fn look(daemon: &Arc<Daemon>) -> bool {
+    let asked_at = Instant::now();
+    let mut looks = daemon.health.looking.lock().await;
+    let now = Instant::now();
+    // Another request waited for the same look.
+    if looks.last_at.is_some_and(|at| at >= asked_at) {
+        return true;
+    }
+    let view = daemon.view();
+    let service = view.config.service(&daemon.settings.service);
+    let path = service.and_then(|service| service.contract.health_path.clone());
+    let (Some(path), true) = (path, looks.take(now)) else {
+        return false;
     };
-    let bytes = tokio::time::timeout(PROBE_TIMEOUT, asking).await??;
+    match tokio::time::timeout(LOOK_TIMEOUT, ask_health(daemon, &path)).await {
+        Ok(Ok(report)) => {
+            looks.last_at = Some(now);
+            daemon.admission.observe(report);
+            true
+        }
+        Ok(Err(error)) => {
+            tracing::debug!(%error, "look failed");
+            false
+        }
+        Err(_) => {
+            tracing::debug!("the target did not answer a look in {LOOK_TIMEOUT:?}");
+            false
+        }
+    }
+}
+
+/// Looks that were taken on behalf of requests.
+#[derive(Debug, Default)]
+struct Looks {
+    last_at: Option<Instant>,
+    /// Looks of the last second.
+    recent: VecDeque<Instant>,
+}
+
+impl Looks {
+    /// Counts a look, unless there were enough in the last second.
+    fn take(&mut self, now: Instant) -> bool {
+        while let Some(first) = self.recent.front() {
+            if now.saturating_duration_since(*first) < Duration::from_secs(1) {
+                break;
+            }
+            self.recent.pop_front();
+        }
+        if self.recent.len() >= MAX_LOOKS {
+            return false;
+        }
+        self.recent.push_back(now);
+        true
+    }
+}
+
+/// Asks the load endpoint.
+async fn ask_load(daemon: &Daemon) -> Result<Report> {
+    let (_, _, bytes) = probe(daemon, "/load").await?;
     let reported: Reported = serde_json::from_slice(&bytes)?;
     Ok(Report {
         in_flight: reported.in_flight,
@@ -198,3 +271,50 @@
         ),
     })
 }
+
+/// Asks the health path, which states load and cold start in headers.
+async fn ask_health(daemon: &Daemon, path: &str) -> Result<Report> {
+    let (status, headers, _) = probe(daemon, path).await?;
+    let dialect = &daemon.dialect;
+    let own = daemon.own();
+    let answering = headers.get(&dialect.answering_run);
+    if let (Some(run), Some(answering)) = (&own.run, answering) {
+        anyhow::ensure!(
+            answering.as_bytes() == run.as_bytes(),
+            "{run} was asked and {answering:?} answered"
+        );
+    }
+    if status.is_success() {
+        let left = headers
+            .get(&dialect.cold_ms)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.trim().parse::<f64>().ok())
+            .filter(|left| left.is_finite() && *left > 0.0)
+            .unwrap_or(0.0);
+        daemon.admission.observe_cold(Duration::from_secs_f64(
+            (left / 1000.0).min(MAX_COLD_SECONDS),
+        ));
+    }
+    let reading = dialect.reading(&headers);
+    if let Some(reading) = reading {
+        daemon.admission.observe_pace(reading.pace_percent);
+    }
+    let reading = reading.unwrap_or_default();
+    Ok(Report {
+        in_flight: reading.running,
+        capacity: reading.slots,
+        ready: status.is_success(),
+    })
+}
+
+async fn probe(daemon: &Daemon, path: &str) -> Result<(StatusCode, HeaderMap, Bytes)> {
+    let uri = format!("http://{}{path}", daemon.settings.target);
+    let request = Request::get(uri).body(body::empty())?;
+    let asking = async {
+        let response = daemon.probes.request(request).await?;
+        let (parts, incoming) = response.into_parts();
+        let bytes = body::read_all(incoming, MAX_REPORT_BYTES).await?;
+        Ok((parts.status, parts.headers, bytes))
+    };
+    tokio::time::timeout(PROBE_TIMEOUT, asking).await?
+}
--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -171,7 +171,9 @@
     };
     let mut response = match reply {
         Reply::Answer(response) => response,
-        Reply::Problem(problem) => answer::of_problem(&problem, &daemon.settings.id),
+        Reply::Problem(problem) => {
+            answer::of_problem(&problem, &daemon.settings.id, &daemon.dialect)
+        }
     };
     let headers = response.headers_mut();
     if headers.contains_key(header::OUTCOME) {
@@ -232,12 +234,15 @@
         .get(header::IDEMPOTENCY_KEY)
         .and_then(|value| value.to_str().ok())
         .map(Arc::from);
+    let host = parts.uri.host().unwrap_or(&hop.service);
     let intake = Intake {
+        host: Arc::from(host),
         service: hop.service.clone(),
         kind: hop.kind.clone(),
         idempotent: hop.idempotent,
         weight: hop.weight,
         timeout: Duration::from_millis(u64::from(hop.timeout_ms)),
+        goal: Duration::from_millis(u64::from(hop.goal_ms)),
         key,
         depth: hop.depth,
         allowance: hop.allowance,
--- a/crates/basilbay_daemon/src/intake.rs
+++ b/crates/basilbay_daemon/src/intake.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::HeaderMap;
-use http::header::HOST;
 use http::request::Parts;
+use http::{HeaderMap, HeaderName};
 
 use basilbay_model::config::Config;
 use basilbay_model::domain::State;
 use basilbay_model::id::{KindId, ServiceId};
+use basilbay_model::route::Route;
+use basilbay_wire::dialect::Dialect;
 use basilbay_wire::header;
 use basilbay_wire::problem::{Cause, Problem};
 
@@ -22,7 +23,9 @@
 /// What a caller asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Intake {
-    /// The service that it names.
+    /// The host that it names, in lower case and without port.
+    pub host: Arc<str>,
+    /// The service that it goes to.
     pub service: ServiceId,
     /// The kind that the request belongs to.
     pub kind: KindId,
@@ -32,6 +35,8 @@
     pub weight: u32,
     /// Time that it has from now on.
     pub timeout: Duration,
+    /// Time from now on after which an answer is of less use.
+    pub goal: Duration,
     /// Its idempotency key.
     pub key: Option<Arc<str>>,
     /// Calls above it.
@@ -40,17 +45,32 @@
     pub allowance: u8,
 }
 
-/// Reads a request of a caller.
-pub fn read(parts: &Parts, config: &Config) -> Result<Intake> {
+/// What the configuration says of a request.
+struct Rules {
+    service: ServiceId,
+    kind: KindId,
+    idempotent: bool,
+    weight: u32,
+    /// Time that a request has which states none.
+    timeout: Duration,
+    /// Time after which an answer is of less use; `None` if it is not before the deadline.
+    goal: Option<Duration>,
+    /// Most time that a request has, whatever it states.
+    most: Duration,
+    /// Extra runs that it may cause.
+    allowance: u32,
+}
+
+/// Reads a request of a caller; `draw` chooses among the services of a route.
+pub fn read(parts: &Parts, config: &Config, dialect: &Dialect, draw: u64) -> Result<Intake> {
     check_size(&parts.headers)?;
-    let name = service_name(parts)?;
-    let service = config
-        .service(name)
-        .ok_or_else(|| refuse(Cause::UnknownService, format!("no service '{name}'")))?;
-    let path = parts.uri.path();
-    let kind = service.kind(parts.method.as_str(), path).ok_or_else(|| {
-        let method = &parts.method;
-        let detail = format!("service '{name}' has no kind for {method} {path}");
+    let host = host(parts)?;
+    let rules = match config.route(&host, parts.uri.path()) {
+        Some(route) => of_route(route, config, draw)?,
+        None => of_kind(parts, &host, config)?,
+    };
+    let service = config.service(&rules.service).ok_or_else(|| {
+        let detail = format!("no service '{}'", rules.service);
         refuse(Cause::UnknownService, detail)
     })?;
     let depth = number(&parts.headers, header::DEPTH)?.unwrap_or(0);
@@ -59,23 +79,27 @@
         return Err(refuse(Cause::TooDeep, detail));
     }
     let allowance = number(&parts.headers, header::ALLOWANCE)?;
-    let allowance = allowance.unwrap_or_else(|| u64::from(config.limits.allowance));
-    let allowance = allowance.min(u64::from(config.limits.allowance));
+    let allowance = allowance.unwrap_or_else(|| u64::from(rules.allowance));
+    let allowance = allowance.min(u64::from(rules.allowance));
     let mut intake = Intake {
-        service: service.id.clone(),
-        kind: kind.id.clone(),
-        idempotent: kind.idempotent,
-        weight: kind.weight,
-        timeout: kind.timeout,
+        host,
+        service: rules.service,
+        kind: rules.kind,
+        idempotent: rules.idempotent,
+        weight: rules.weight,
+        timeout: rules.timeout,
+        goal: rules.timeout,
         key: text(&parts.headers, header::IDEMPOTENCY_KEY)?.map(Arc::from),
         depth: depth as u8,
         allowance: u8::try_from(allowance).unwrap_or(u8::MAX),
     };
-    let timeout = timeout(&parts.headers, kind.timeout);
-    intake.timeout = timeout.map_err(|problem| intake.of_this_send(problem))?;
+    let timeout = timeout(&parts.headers, &dialect.timeout_ms, rules.timeout);
+    let timeout = timeout.map_err(|problem| intake.of_this_send(problem))?;
+    intake.timeout = timeout.min(rules.most);
+    intake.goal = rules.goal.unwrap_or(intake.timeout).min(intake.timeout);
     // The home of a key is asked all the same: it may remember an answer.
     if service.state == State::Out && !intake.has_home() {
-        let detail = format!("service '{name}' is out");
+        let detail = format!("service '{}' is out", intake.service);
         return Err(refuse(Cause::ServiceOut, detail));
     }
     Ok(intake)
@@ -97,6 +121,48 @@
     }
 }
 
+fn of_route(route: &Route, config: &Config, draw: u64) -> Result<Rules> {
+    let service = route.choose(draw).ok_or_else(|| {
+        let detail = format!("route '{}' leads to no service", route.id);
+        refuse(Cause::UnknownService, detail)
+    })?;
+    Ok(Rules {
+        service: service.clone(),
+        kind: route.id.clone(),
+        idempotent: route.idempotent,
+        weight: route.weight(),
+        timeout: route.timeout,
+        goal: Some(route.goal),
+        most: route.timeout,
+        allowance: config
+            .limits
+            .allowance
+            .min(route.attempts.saturating_sub(1)),
+    })
+}
+
+fn of_kind(parts: &Parts, host: &str, config: &Config) -> Result<Rules> {
+    let service = config
+        .service(host)
+        .ok_or_else(|| refuse(Cause::UnknownService, format!("no service '{host}'")))?;
+    let path = parts.uri.path();
+    let kind = service.kind(parts.method.as_str(), path).ok_or_else(|| {
+        let method = &parts.method;
+        let detail = format!("service '{host}' has no kind for {method} {path}");
+        refuse(Cause::UnknownService, detail)
+    })?;
+    Ok(Rules {
+        service: service.id.clone(),
+        kind: kind.id.clone(),
+        idempotent: kind.idempotent,
+        weight: kind.weight,
+        timeout: kind.timeout,
+        goal: None,
+        most: MAX_TIMEOUT,
+        allowance: config.limits.allowance,
+    })
+}
+
 fn refuse(cause: Cause, detail: impl Into<Arc<str>>) -> Problem {
     Problem::not_run(cause, detail)
 }
@@ -118,24 +184,26 @@
     Ok(())
 }
 
-fn service_name(parts: &Parts) -> Result<&str> {
-    if let Some(host) = parts.uri.host() {
-        return Ok(host);
+/// The host that a request names, in lower case and without port.
+fn host(parts: &Parts) -> Result<Arc<str>> {
+    let named = match parts.uri.host() {
+        Some(host) => host,
+        None => text(&parts.headers, "host")?
+            .ok_or_else(|| refuse(Cause::BadRequest, "no host that names the service"))?,
+    };
+    let name = named.split(':').next().unwrap_or(named);
+    if name.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        return Ok(Arc::from(name.to_ascii_lowercase()));
     }
-    let host = parts
-        .headers
-        .get(HOST)
-        .and_then(|value| value.to_str().ok())
-        .ok_or_else(|| refuse(Cause::BadRequest, "no host that names the service"))?;
-    Ok(host.split(':').next().unwrap_or(host))
+    Ok(Arc::from(name))
 }
 
-fn timeout(headers: &HeaderMap, default: Duration) -> Result<Duration> {
-    let Some(stated) = text(headers, header::TIMEOUT_MS)? else {
+fn timeout(headers: &HeaderMap, name: &HeaderName, default: Duration) -> Result<Duration> {
+    let Some(stated) = text(headers, name.as_str())? else {
         return Ok(default);
     };
     let milliseconds: i64 = stated.trim().parse().map_err(|_| {
-        let detail = format!("{}: '{stated}' is not a number of ms", header::TIMEOUT_MS);
+        let detail = format!("{name}: '{stated}' is not a number of ms");
         refuse(Cause::BadRequest, detail)
     })?;
     let Some(milliseconds) = u64::try_from(milliseconds).ok().filter(|left| *left > 0) else {
@@ -158,7 +226,7 @@
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>> {
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>> {
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else {
         return Ok(None);
--- a/crates/basilbay_daemon/src/lib.rs
+++ b/crates/basilbay_daemon/src/lib.rs
@@ -1,7 +1,8 @@
 //! The daemon beside each target instance.
 //!
 //! A thin shell: sockets, timers and tasks. Every decision is made by the pure crates, which
-//! [`daemon::Daemon`] composes. A request enters through [`server`]; [`intake`] reads it;
+//! [`daemon::Daemon`] composes. A request enters through [`server`] and
+//! [`front`]; [`intake`] reads it;
 //! [`entry`] picks a target's daemon and sends a hop there over a [`link`]; on that side
 //! [`target`] admits it and hands it to the target over a [`pool`].
 
@@ -11,9 +12,12 @@
 pub mod attempt;
 pub mod body;
 pub mod control;
+pub mod cut;
 pub mod daemon;
 pub mod entry;
 pub mod errand;
+pub mod front;
+pub mod gauge;
 pub mod health;
 pub mod home;
 pub mod hop;
@@ -21,9 +25,11 @@
 pub mod link;
 pub mod platform;
 pub mod pool;
+pub mod program;
 pub mod report;
 pub mod server;
 pub mod settings;
+pub mod source;
 pub mod stop;
 pub mod suspects;
 pub mod target;
--- a/crates/basilbay_daemon/src/server.rs
+++ b/crates/basilbay_daemon/src/server.rs
@@ -14,7 +14,7 @@
 
 use crate::body::Body;
 use crate::daemon::Daemon;
-use crate::{entry, hop};
+use crate::{entry, front, hop};
 
 /// Time that a caller has to send the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -23,7 +23,16 @@
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Headers that the library reads before it refuses by itself.
-const READ_HEADERS: usize = 256;
+pub const READ_HEADERS: usize = 256;
+
+/// Pause after a connection could not be accepted, as when descriptors have run out.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time between two looks at a preface that came in parts.
+const PREFACE_PAUSE: Duration = Duration::from_millis(5);
+
+/// What a connection of HTTP/2 with prior knowledge begins with.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
 /// Requests that one HTTP/2 connection may have open.
 const MAX_STREAMS: u32 = 1024;
@@ -48,8 +57,8 @@
         match accepted {
             Ok((stream, _)) => serve(&daemon, stream, side, &graceful),
             Err(error) => {
-                tracing::debug!(%error, "accept failed");
-                tokio::time::sleep(Duration::from_millis(10)).await;
+                tracing::warn!(%error, ?side, "accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
@@ -74,6 +83,22 @@
         .max_concurrent_streams(MAX_STREAMS)
         .max_header_list_size(READ_BUFFER_BYTES as u32);
     let daemon = daemon.clone();
+    if side == Side::Callers {
+        let watcher = graceful.watcher();
+        tokio::spawn(async move {
+            if begins_as_http2(&stream).await {
+                let service = service_fn(move |request| handle(daemon.clone(), side, request));
+                let connection = builder.serve_connection(TokioIo::new(stream), service);
+                if let Err(error) = watcher.watch(connection.into_owned()).await {
+                    tracing::debug!(error, "connection ended");
+                }
+                return;
+            }
+            front::serve(daemon, stream).await;
+            drop(watcher);
+        });
+        return;
+    }
     let service = service_fn(move |request| handle(daemon.clone(), side, request));
     let connection = builder
         .serve_connection(TokioIo::new(stream), service)
@@ -86,6 +111,24 @@
     });
 }
 
+/// Whether the first bytes of a connection are the preface of HTTP/2.
+async fn begins_as_http2(stream: &TcpStream) -> bool {
+    let mut first = [0; HTTP2_PREFACE.len()];
+    loop {
+        match stream.peek(&mut first).await {
+            Ok(count) if count < first.len() && count > 0 => {
+                if !HTTP2_PREFACE.starts_with(&first[..count]) {
+                    return false;
+                }
+                // The rest of the preface is on its way.
+                tokio::time::sleep(PREFACE_PAUSE).await;
+            }
+            Ok(_) => return first == HTTP2_PREFACE,
+            Err(_) => return false,
+        }
+    }
+}
+
 async fn handle(
     daemon: Arc<Daemon>,
     side: Side,
--- a/crates/basilbay_daemon/src/settings.rs
+++ b/crates/basilbay_daemon/src/settings.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context;
-use basilbay_events::log::Format;
+use basilbay_events::log::{Format, Output};
+use basilbay_membership::reader::JITTER;
 use basilbay_model::finding::Report;
 use basilbay_model::id::{DomainId, InstanceId, RegionId, ServiceId};
 use basilbay_model::ini::{Document, Reader, Section};
@@ -17,6 +19,14 @@
 const ANSWERS: [(&str, bool); 2] = [("yes", true), ("no", false)];
 const SECTIONS: [&str; 6] = ["instance", "listen", "platform", "log", "metrics", "run"];
 
+const OUTPUTS: [(&str, Output); 2] = [("stderr", Output::Stderr), ("stdout", Output::Stdout)];
+
+/// Time for which the ports stay open at a stop: six rounds of gossip.
+const LINGER: Duration = Duration::from_millis(1500);
+
+/// Time that running requests have at a stop; longer than usual deadlines.
+const PATIENCE: Duration = Duration::from_secs(60);
+
 /// Threads of a daemon; two keep it small beside its target.
 const THREADS: usize = 2;
 
@@ -39,6 +49,8 @@
     pub peers: SocketAddr,
     /// Address for operators.
     pub admin: SocketAddr,
+    /// Address that says whether the daemon takes new work; `None` for none.
+    pub readiness: Option<SocketAddr>,
     /// Address of the configuration service.
     pub config_service: SocketAddr,
     /// Address of the instance list.
@@ -49,8 +61,20 @@
     pub log_filter: Arc<str>,
     /// Whether a line is written when a span closes.
     pub log_spans: bool,
+    /// Where the log goes.
+    pub log_output: Output,
     /// Where metrics go.
     pub statsd: Option<SocketAddr>,
+    /// Address that metrics can be read from; `None` for none.
+    pub metrics: Option<SocketAddr>,
+    /// Time within which all daemons read the platform that start at the same moment.
+    pub start_spread: Duration,
+    /// Whether new work is taken while neither a peer nor the platform is heard.
+    pub serves_alone: bool,
+    /// Time for which the ports stay open after the daemon was asked to stop.
+    pub linger: Duration,
+    /// Time after which requests that run are given up at a stop, the linger included.
+    pub patience: Duration,
     /// Worker threads.
     pub threads: usize,
     /// Seed of all random choices; drawn from the id when it is not set.
@@ -69,8 +93,7 @@
     pub fn parse(file: &str, bytes: &[u8]) -> std::result::Result<Self, Report> {
         let mut report = Report::default();
         let document = Document::parse_bytes(file, bytes, &mut report);
-        document.check_sections(&SECTIONS, &[], &mut report);
-        let settings = read(&document, &mut report);
+        let settings = Self::read(&document, &mut report);
         report.sort();
         match settings {
             Some(settings) if report.is_clean() => Ok(settings),
@@ -79,6 +102,14 @@
     }
 }
 
+impl Settings {
+    /// Reads a parsed file; findings are added to the report.
+    pub fn read(document: &Document, report: &mut Report) -> Option<Self> {
+        document.check_sections(&SECTIONS, &[], report);
+        read(document, report)
+    }
+}
+
 fn read(document: &Document, report: &mut Report) -> Option<Settings> {
     let absent = |name: &str| Section {
         name: Arc::from(name),
@@ -101,18 +132,21 @@
     let callers = reader.required("callers");
     let peers = reader.required("peers");
     let admin = reader.required("admin");
+    let readiness = reader.optional("readiness");
     reader.finish();
 
     let platform = section("platform");
     let mut reader = Reader::new(document, &platform, report);
     let config_service = reader.required("config");
     let instance_list = reader.required("instances");
+    let start_spread = reader.millis("start_spread_ms", JITTER);
     reader.finish();
 
     let log = section("log");
     let mut reader = Reader::new(document, &log, report);
     let log_format = reader.choice("format", &FORMATS, Format::Text);
     let log_filter = reader.optional_text("filter").unwrap_or(Arc::from("info"));
+    let log_output = reader.choice("output", &OUTPUTS, Output::Stderr);
     let log_spans = reader.choice("spans", &ANSWERS, false);
     reader.finish();
 
@@ -122,6 +156,7 @@
         Some(_) => reader.required("statsd"),
         None => None,
     };
+    let metrics_address = reader.optional("address");
     reader.finish();
 
     let run = section("run");
@@ -131,6 +166,9 @@
         reader.found("threads", "range", "must be 1 to 64".to_owned());
     }
     let seed = reader.value("seed", seed_of(&id));
+    let serves_alone = reader.answer("serves_alone", false);
+    let linger = reader.millis("linger_ms", LINGER);
+    let patience = reader.millis("patience_ms", PATIENCE);
     reader.finish();
 
     Some(Settings {
@@ -142,12 +180,19 @@
         callers: callers?,
         peers: peers?,
         admin: admin?,
+        readiness,
         config_service: config_service?,
         instance_list: instance_list?,
         log_format,
         log_filter,
         log_spans,
+        log_output,
         statsd,
+        metrics: metrics_address,
+        start_spread,
+        serves_alone,
+        linger,
+        patience,
         threads,
         seed,
     })
--- a/crates/basilbay_daemon/src/stop.rs
+++ b/crates/basilbay_daemon/src/stop.rs
@@ -12,13 +12,6 @@
 use crate::control;
 use crate::daemon::Daemon;
 
-/// Time for which the ports stay open after the word of leaving went out: requests that were
-/// sent before it arrived get a refusal, which is retried elsewhere, and not a closed port.
-const LINGER: Duration = Duration::from_millis(1500);
-
-/// Time after which running requests are given up.
-const PATIENCE: Duration = Duration::from_secs(60);
-
 /// Time between two looks at the running requests.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -40,12 +33,15 @@
 /// Says that the target leaves, lets running requests finish and stops the ports.
 pub async fn gracefully(daemon: &Arc<Daemon>) {
     emit!(catalogue::STOPPING, instance = %daemon.settings.id);
+    let patience = Instant::now() + daemon.settings.patience;
+    daemon.note_stopping();
     daemon.admission.set_state(Closed::Leaving, true);
     daemon.control.node().leaving(Instant::now());
     control::settle(daemon);
     daemon.announce();
-    tokio::time::sleep(LINGER).await;
-    let patience = Instant::now() + PATIENCE;
+    // Requests that were sent before the word of leaving arrived get a refusal, which is retried
+    // elsewhere, and not a closed port.
+    tokio::time::sleep(daemon.settings.linger).await;
     while !daemon.admission.is_idle() && Instant::now() < patience {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -6,12 +6,13 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http::Response;
+use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
 use basilbay_admission::gate::Completion;
-use basilbay_keys::suspect::Verdict;
+use basilbay_admission::spell::Verdict;
+use basilbay_keys::suspect;
 use basilbay_wire::header;
 use basilbay_wire::problem::{Cause, Problem};
 
@@ -20,6 +21,7 @@
 use crate::body::{self, Body};
 use crate::daemon::Daemon;
 use crate::errand::{Errand, Terms};
+use crate::health;
 use crate::pool::{Connection, Failure, Pool};
 
 /// Runs a request on the own target, once it is admitted.
@@ -31,27 +33,29 @@
 }
 
 async fn admit(daemon: &Arc<Daemon>, errand: &Errand, terms: Terms) -> Result<Slot, Problem> {
-    if errand.intake.service != daemon.settings.service {
-        let detail = format!(
-            "this target belongs to service '{}'",
-            daemon.settings.service
-        );
+    let service = &daemon.settings.service;
+    if errand.intake.service != *service {
+        let detail = format!("this target belongs to service '{service}'");
         return Err(Problem::not_run(Cause::ServiceOut, detail));
     }
     let verdict = daemon.suspects.check(errand.fingerprint, Instant::now());
-    if verdict == Verdict::Refuse {
+    if verdict == suspect::Verdict::Refuse {
         let detail = "targets crashed twice while they ran this request";
         return Err(Problem::not_run(Cause::Poisoned, detail));
     }
     let demand = Demand {
         weight: errand.intake.weight,
         deadline: errand.deadline,
-        suspect: terms.suspect || verdict == Verdict::Alone,
+        suspect: terms.suspect || verdict == suspect::Verdict::Alone,
         may_wait: terms.may_wait,
         fingerprint: errand.fingerprint,
     };
     check_trust(daemon)?;
     let slot = daemon.admission.enter(demand).await?;
+    if let Err(problem) = await_calm(daemon, errand, !terms.may_wait).await {
+        slot.finish(Completion::Cancelled);
+        return Err(problem);
+    }
     // The process may have stood still while the request waited.
     if let Err(problem) = check_trust(daemon) {
         slot.finish(Completion::Cancelled);
@@ -60,6 +64,23 @@
     Ok(slot)
 }
 
+/// Waits for a moment at which nobody else slows the target, or refuses the request if another
+/// target may take it.
+async fn await_calm(daemon: &Arc<Daemon>, errand: &Errand, may_move: bool) -> Result<(), Problem> {
+    let mut may_look = true;
+    loop {
+        match daemon.admission.judge(errand.goal_at, may_move, may_look) {
+            Verdict::Run => return Ok(()),
+            Verdict::Look => may_look = health::look(daemon).await,
+            Verdict::Move => {
+                let detail = "others on the target's machine slow it at this moment";
+                return Err(Problem::not_run(Cause::TargetSlowed, detail));
+            }
+            Verdict::Wait(until) => tokio::time::sleep_until(until.into()).await,
+        }
+    }
+}
+
 /// Refuses work while the daemon's own view may be out of date.
 fn check_trust(daemon: &Daemon) -> Result<(), Problem> {
     if daemon.trust.holds(Instant::now()) {
@@ -77,7 +98,8 @@
     slot: Slot,
 ) -> Reply {
     let trace = errand.trace.child(daemon.draw());
-    let request = errand.to_target(allowance, trace, body);
+    let run = daemon.own().run.clone();
+    let request = errand.to_target(allowance, run.as_ref(), &daemon.dialect, trace, body);
     let deadline = errand.deadline;
     let sent = tokio::time::timeout_at(deadline.into(), daemon.pool.send(request));
     let (response, connection) = match sent.await {
@@ -99,6 +121,18 @@
             return Reply::Problem(Problem::unknown(Cause::DeadlinePassed, detail));
         }
     };
+    if let Some(reading) = daemon.dialect.reading(response.headers()) {
+        daemon.admission.observe_pace(reading.pace_percent);
+    }
+    if let Some(problem) = refusal(daemon, &response) {
+        // The rest of the answer is of no use; the connection is dropped with it.
+        slot.finish(Completion::Failed);
+        return Reply::Problem(problem);
+    }
+    if let Some(problem) = mismatch(daemon, errand, &response) {
+        slot.finish(Completion::Cancelled);
+        return Reply::Problem(problem);
+    }
     let reply = pass_on(daemon, response, connection, slot, deadline).await;
     match &reply {
         Reply::Answer(_) => {
@@ -114,6 +148,46 @@
     reply
 }
 
+/// What a target says that has not run the request.
+fn refusal(daemon: &Daemon, response: &Response<Incoming>) -> Option<Problem> {
+    let status = response.status();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        let found = response.headers().get(&daemon.dialect.answering_run);
+        let detail = format!("another target has the address: {found:?}");
+        return Some(Problem::not_run(Cause::Leaving, detail));
+    }
+    if !response.headers().contains_key(&daemon.dialect.not_run) {
+        return None;
+    }
+    let cause = match status {
+        StatusCode::BAD_REQUEST => Cause::BadRequest,
+        _ => Cause::TargetBusy,
+    };
+    let detail = format!("the target did not run the request: {status}");
+    Some(Problem::not_run(cause, detail))
+}
+
+/// Why an answer cannot be the target's answer to this request.
+fn mismatch(daemon: &Daemon, errand: &Errand, response: &Response<Incoming>) -> Option<Problem> {
+    let dialect = &daemon.dialect;
+    let headers = response.headers();
+    if let (Some(asked), Some(answered)) =
+        (errand.request_id(dialect), headers.get(&dialect.request_id))
+        && asked != answered
+    {
+        let detail = format!("the target answered another request: {answered:?}");
+        return Some(Problem::unknown(Cause::TargetFailed, detail));
+    }
+    if let Some(seal) = &dialect.seal
+        && response.status().is_success()
+        && !headers.contains_key(seal)
+    {
+        let detail = format!("the target's answer has no {seal}");
+        return Some(Problem::unknown(Cause::TargetFailed, detail));
+    }
+    None
+}
+
 async fn pass_on(
     daemon: &Arc<Daemon>,
     response: Response<Incoming>,
@@ -127,6 +201,7 @@
     for name in [header::OUTCOME, header::LOAD, header::REPLAYED] {
         parts.headers.remove(name);
     }
+    parts.headers.remove(&daemon.dialect.load);
     let completion = if parts.status.is_server_error() {
         Completion::Failed
     } else {
--- a/crates/basilbay_daemon/tests/common/call.rs
+++ b/crates/basilbay_daemon/tests/common/call.rs
@@ -84,6 +84,7 @@
     /// Turns it into a hop, for the peer port of a daemon that is to run it.
     pub(crate) fn hop(self, service: &str, timeout_ms: u32) -> Self {
         let hop = Hop {
+            goal_ms: 0,
             format: frame::FORMAT,
             service: service.into(),
             kind: "read".into(),
--- a/crates/basilbay_daemon/tests/intake.rs
+++ b/crates/basilbay_daemon/tests/intake.rs
@@ -134,6 +134,7 @@
     let peers = fleet.daemon("desk-1").peers;
     let other = frame::encode_header(&["not", "a", "hop"]);
     let keyless = frame::encode_header(&Hop {
+        goal_ms: 0,
         format: frame::FORMAT,
         service: "desk".into(),
         kind: "write".into(),
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -90,6 +90,8 @@
         "The target completed its cold start." "Nothing.";
     TARGET_UP 303 Info "target-up"
         "The target accepts connections again." "Nothing; it starts on the ramp.";
+    TARGET_REPLACED 304 Info "target-replaced"
+        "Another run of the target took the place of the one before; it starts cold." "Nothing.";
     REQUEST_SUSPECT 500 Warning "request-suspect"
         "The target crashed while it ran this request; after two crashes it is refused."
         "Look at the target's log for what the request does.";
--- a/crates/basilbay_events/src/log.rs
+++ b/crates/basilbay_events/src/log.rs
@@ -1,12 +1,20 @@
 //! Log output.
+//!
+//! Lines for a collector go through a thread of their own with a bounded buffer: a request never
+//! waits for the log, and what does not fit is dropped and counted.
 
 use anyhow::anyhow;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::fmt::format::FmtSpan;
+use tracing_subscriber::fmt::writer::BoxMakeWriter;
 
 /// Result of setting up the log.
 pub type Result<T> = anyhow::Result<T>;
 
+/// Lines that wait to be written; at about 400 bytes a line they take 1.6 MB at most.
+const BUFFERED_LINES: usize = 4096;
+
 /// Form of the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Format {
@@ -17,17 +25,72 @@
     Json,
 }
 
-/// Starts to log to standard error; `spans` adds a line when a span closes.
-pub fn start(format: Format, filter: &str, spans: bool) -> Result<()> {
+/// Where the log goes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Output {
+    /// Standard error, written before the process goes on.
+    #[default]
+    Stderr,
+    /// Standard output, by a thread of its own.
+    Stdout,
+}
+
+/// A started log; lines that are not written yet are written when it is dropped.
+#[derive(Debug)]
+pub struct Log {
+    dropped: Option<ErrorCounter>,
+    _writer: Option<WorkerGuard>,
+}
+
+impl Log {
+    /// Counts lines that were dropped; `None` when none can be.
+    pub fn dropped(&self) -> Option<ErrorCounter> {
+        self.dropped.clone()
+    }
+}
+
+/// Starts to log; `spans` adds a line when a span closes.
+pub fn start(format: Format, output: Output, filter: &str, spans: bool) -> Result<Log> {
     let filter = EnvFilter::try_new(filter)?;
     let span_events = if spans { FmtSpan::CLOSE } else { FmtSpan::NONE };
+    let (writer, log) = writer(output);
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_span_events(span_events)
-        .with_writer(std::io::stderr);
+        .with_writer(writer);
     let started = match format {
         Format::Text => builder.with_ansi(false).try_init(),
-        Format::Json => builder.json().try_init(),
+        Format::Json => builder
+            .json()
+            .flatten_event(true)
+            .with_current_span(false)
+            .with_span_list(false)
+            .try_init(),
     };
-    started.map_err(|error| anyhow!("cannot start the log: {error}"))
+    started.map_err(|error| anyhow!("cannot start the log: {error}"))?;
+    Ok(log)
+}
+
+fn writer(output: Output) -> (BoxMakeWriter, Log) {
+    match output {
+        Output::Stderr => {
+            let log = Log {
+                dropped: None,
+                _writer: None,
+            };
+            (BoxMakeWriter::new(std::io::stderr), log)
+        }
+        Output::Stdout => {
+            let (writer, guard): (NonBlocking, WorkerGuard) = NonBlockingBuilder::default()
+                .lossy(true)
+                .buffered_lines_limit(BUFFERED_LINES)
+                .thread_name("log")
+                .finish(std::io::stdout());
+            let log = Log {
+                dropped: Some(writer.error_counter()),
+                _writer: Some(guard),
+            };
+            (BoxMakeWriter::new(writer), log)
+        }
+    }
 }
--- a/crates/basilbay_events/tests/metrics.rs
+++ b/crates/basilbay_events/tests/metrics.rs
@@ -33,7 +33,7 @@
     socket
         .set_read_timeout(Some(Duration::from_secs(5)))
         .unwrap();
-    let metrics = Metrics::new(Some(socket.local_addr().unwrap())).unwrap();
+    let metrics = Metrics::new(Some(socket.local_addr().unwrap()), false).unwrap();
     for _ in 0..100 {
         metrics.count(metrics::CALLS_ANSWERED, 3);
     }
--- a/crates/basilbay_fakes/src/platform/list.rs
+++ b/crates/basilbay_fakes/src/platform/list.rs
@@ -152,6 +152,9 @@
             admin: entry.admin,
             listen: entry.listen,
             state: entry.state,
+            target: None,
+            born_ms: None,
+            slots: None,
             listed_at_ms,
             leaving_at_ms,
         }
--- a/crates/basilbay_keys/benches/keys.rs
+++ b/crates/basilbay_keys/benches/keys.rs
@@ -34,6 +34,9 @@
         admin: address,
         listen: address,
         state: State::Live,
+        target: None,
+        born_ms: None,
+        slots: None,
         listed_at_ms: 0,
         leaving_at_ms: None,
     }
--- a/crates/basilbay_keys/tests/support/roster.rs
+++ b/crates/basilbay_keys/tests/support/roster.rs
@@ -20,6 +20,9 @@
         admin: address,
         listen: address,
         state: State::Live,
+        target: None,
+        born_ms: None,
+        slots: None,
         listed_at_ms: listed,
         leaving_at_ms: None,
     }
--- a/crates/basilbay_membership/src/action.rs
+++ b/crates/basilbay_membership/src/action.rs
@@ -78,6 +78,8 @@
     RosterInForce(Arc<Roster>),
     /// An instance said itself that it leaves; the roster may still call it live.
     Left(InstanceId),
+    /// An instance that said it leaves takes part again.
+    Back(InstanceId),
     /// Log an event.
     Emit(Event),
     /// The process stood still; refuse the requests that waited.
--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -94,6 +94,7 @@
     confirm_at: Instant,
     farewell: Vec<SocketAddr>,
     isolated: bool,
+    serves_alone: bool,
     actions: Vec<Action>,
 }
 
@@ -140,10 +141,21 @@
             confirm_at: now,
             farewell: Vec::new(),
             isolated: false,
+            serves_alone: false,
             actions: Vec::new(),
         }
     }
 
+    /// Sets the time within which all daemons read the platform that start at the same moment.
+    pub fn set_start_spread(&mut self, spread: Duration) {
+        self.jitter = reader::part_of(spread, &mut self.random);
+    }
+
+    /// Sets whether new work is taken while neither a peer nor the platform is heard.
+    pub fn set_serves_alone(&mut self, serves_alone: bool) {
+        self.serves_alone = serves_alone;
+    }
+
     /// Takes the actions that are due, in order.
     pub fn actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -194,7 +206,7 @@
         if let Some(lack) = self.lack(now) {
             return Standing::Starting(lack);
         }
-        if self.is_cut_off(now) {
+        if !self.serves_alone && self.is_cut_off(now) {
             return Standing::Isolated;
         }
         Standing::Serving
@@ -216,6 +228,8 @@
         self.hearing.heard_at = Some(now);
         if beat.state == State::Leaving {
             self.note_left(from);
+        } else {
+            self.note_back(from);
         }
         let address = self.address_of(from).unwrap_or(source);
         self.compare_config(from, address, beat);
@@ -343,6 +357,15 @@
         self.emit(Event::PeerLeaving { id: id.clone() });
     }
 
+    /// A daemon that was restarted beside its target has the id of the one before.
+    fn note_back(&mut self, id: &InstanceId) {
+        if let Ok(index) = self.hearing.left.binary_search(id) {
+            self.hearing.left.remove(index);
+            self.choose_readers();
+            self.emit_action(Action::Back(id.clone()));
+        }
+    }
+
     fn choose_readers(&mut self) {
         if let Some(roster) = self.listing.roster() {
             self.readers = reader::readers(roster, &self.identity.domain, &self.hearing.left);
--- a/crates/basilbay_model/src/config.rs
+++ b/crates/basilbay_model/src/config.rs
@@ -20,6 +20,7 @@
 use crate::domain::{Domain, State};
 use crate::finding::Report;
 use crate::id::Version;
+use crate::route::{self, Route};
 use crate::service::Service;
 
 /// Result of reading a configuration: the findings are the error.
@@ -39,6 +40,19 @@
     pub key_retention: Duration,
     /// Memory for stored answers of one daemon.
     pub key_memory_bytes: u64,
+    /// Retries that all daemons together may add to a service on top of `retry_percent` in each
+    /// `retry_window`; `None` gives each daemon a small floor of its own.
+    pub retry_slack: Option<u32>,
+    /// Time over which retries are counted.
+    pub retry_window: Duration,
+    /// Bytes of a request's line and headers.
+    pub header_bytes: u32,
+    /// Bytes of a request's body.
+    pub body_bytes: u64,
+    /// Time that a caller has for the headers of a request.
+    pub header_timeout: Duration,
+    /// Time after which a caller's idle connection is closed.
+    pub idle_timeout: Duration,
 }
 
 impl Default for Limits {
@@ -48,6 +62,12 @@
             allowance: 3,
             key_retention: Duration::from_secs(600),
             key_memory_bytes: 64 * 1024 * 1024,
+            retry_slack: None,
+            retry_window: Duration::from_secs(10),
+            header_bytes: 16 * 1024,
+            body_bytes: 1024 * 1024 * 1024,
+            header_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(75),
         }
     }
 }
@@ -61,6 +81,8 @@
     pub domains: Vec<Domain>,
     /// Services, sorted by id.
     pub services: Vec<Service>,
+    /// Routes, sorted by host; of one host the longest path first.
+    pub routes: Vec<Route>,
     /// Limits for all services.
     pub limits: Limits,
 }
@@ -85,6 +107,11 @@
         self.services.get(index)
     }
 
+    /// Finds the route of a host and path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        route::find(&self.routes, host, path)
+    }
+
     /// Finds a failure domain by id.
     pub fn domain(&self, id: &str) -> Option<&Domain> {
         let index = self
--- a/crates/basilbay_model/src/config/check.rs
+++ b/crates/basilbay_model/src/config/check.rs
@@ -44,8 +44,21 @@
     ))
 }
 
-/// Checks the path prefix of a kind.
-pub(super) fn path(reader: &mut Reader<'_>, path: &str) {
+/// Checks the host of a route, which is in lower case.
+pub(super) fn host(reader: &mut Reader<'_>, host: &str) {
+    let visible = host
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.'));
+    if host.is_empty() || (visible && range::HOST_LENGTH.contains(&host.len())) {
+        return;
+    }
+    let end = range::HOST_LENGTH.end();
+    let message = format!("'{host}' is not a host name of at most {end} characters");
+    reader.found("host", "host", message);
+}
+
+/// Checks the path prefix of a kind or route, or a path at a target.
+pub(super) fn path(reader: &mut Reader<'_>, key: &'static str, path: &str) {
     if path.is_empty() {
         return;
     }
@@ -59,7 +72,7 @@
         "must start with / and be visible ASCII without ? and #, at most {} characters",
         range::PATH_LENGTH.end()
     );
-    reader.found("path", "path", message);
+    reader.found(key, "path", message);
 }
 
 /// Checks the methods of a kind, which are sorted.
--- a/crates/basilbay_model/src/config/parse.rs
+++ b/crates/basilbay_model/src/config/parse.rs
@@ -10,7 +10,8 @@
 use crate::id::KindId;
 use crate::ini::{self, Document, Reader, Section};
 use crate::kind::Kind;
-use crate::service::{Contract, Policy, Service};
+use crate::route::{Part, Route};
+use crate::service::{Contract, LimitRule, Policy, Service};
 
 /// Words for the state of a domain or service.
 pub(super) const STATES: [(&str, State); 2] = [("in", State::In), ("out", State::Out)];
@@ -24,6 +25,12 @@
     ("two-choices", Policy::TwoChoices),
 ];
 
+/// Words for the rules of the limit.
+pub(super) const LIMIT_RULES: [(&str, LimitRule); 2] = [
+    ("adaptive", LimitRule::Adaptive),
+    ("fixed", LimitRule::Fixed),
+];
+
 /// Sections of a file. 70 services need some hundred; look-ups are linear, so that a file of many
 /// thousand sections would take seconds to check.
 pub const MAX_SECTIONS: usize = 4_096;
@@ -31,6 +38,9 @@
 /// Weight of a kind that states none.
 const DEFAULT_WEIGHT: u32 = 1;
 
+/// Targets that may run a request of a route that states no number.
+const DEFAULT_ATTEMPTS: u32 = 2;
+
 /// Deadline of a kind that states none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
 
@@ -63,7 +73,7 @@
     }
     document.check_sections(
         &["basilbay", "limits"],
-        &["domain", "service", "kind"],
+        &["domain", "service", "kind", "route"],
         &mut report,
     );
     let version = version(&document, &mut report);
@@ -71,7 +81,8 @@
     let domains = domains(&document, &mut report);
     let mut services = services(&document, &mut report);
     kinds(&document, &mut services, &mut report);
-    check_services(&document, &services, &mut report);
+    let routes = routes(&document, &services, &mut report);
+    check_services(&document, &services, &routes, &mut report);
     check::deadlines(&document, &services, limits.key_retention, &mut report);
     if domains.is_empty() {
         let message = "no [domain ID] section".to_owned();
@@ -85,6 +96,7 @@
         version,
         domains,
         services,
+        routes,
         limits,
     })
 }
@@ -138,6 +150,26 @@
             default.key_memory_bytes,
             range::KEY_MEMORY_BYTES,
         ),
+        retry_slack: reader
+            .has("retry_slack")
+            .then(|| reader.bounded("retry_slack", 0, range::RETRY_SLACK)),
+        retry_window: reader.millis_within(
+            "retry_window_ms",
+            default.retry_window,
+            range::RETRY_WINDOW_MS,
+        ),
+        header_bytes: reader.bounded("header_bytes", default.header_bytes, range::HEADER_BYTES),
+        body_bytes: reader.bounded("body_bytes", default.body_bytes, range::BODY_BYTES),
+        header_timeout: reader.millis_within(
+            "header_timeout_ms",
+            default.header_timeout,
+            range::HEADER_TIMEOUT_MS,
+        ),
+        idle_timeout: reader.millis_within(
+            "idle_timeout_ms",
+            default.idle_timeout,
+            range::IDLE_TIMEOUT_MS,
+        ),
     };
     reader.finish();
     limits
@@ -193,7 +225,8 @@
     services
 }
 
-fn contract(reader: &mut Reader<'_>) -> Contract {
+/// Reads what a target of a service bears.
+pub fn contract(reader: &mut Reader<'_>) -> Contract {
     let default = Contract::default();
     let probe_cost_us = u64::try_from(default.probe_cost.as_micros()).unwrap_or(u64::MAX);
     let contract = Contract {
@@ -212,7 +245,16 @@
             probe_cost_us,
             range::PROBE_COST_US,
         )),
+        slow_percent: reader.bounded("slow_percent", default.slow_percent, range::SLOW_PERCENT),
+        probe_gap: reader.millis_within("probe_gap_ms", default.probe_gap, range::PROBE_GAP_MS),
+        cold_rate: reader.bounded("cold_rate", default.cold_rate, range::COLD_RATE),
+        cold: reader.millis_within("cold_ms", default.cold, range::COLD_MS),
+        limit: reader.choice("limit", &LIMIT_RULES, default.limit),
+        health_path: reader.optional_text("health_path"),
     };
+    if let Some(path) = &contract.health_path {
+        check::path(reader, "health_path", path);
+    }
     let slots = contract.slots;
     if contract.connections < slots {
         let message = format!("{} is less than slots ({slots})", contract.connections);
@@ -280,17 +322,127 @@
         idempotent: reader.answer("idempotent", false),
         timeout: reader.millis_within("deadline_ms", DEFAULT_DEADLINE, range::DEADLINE_MS),
     };
-    check::path(&mut reader, &kind.path);
+    check::path(&mut reader, "path", &kind.path);
     check::methods(&mut reader, &kind.methods);
     reader.finish();
     kind
 }
 
-fn check_services(document: &Document, services: &[Service], report: &mut Report) {
+fn routes(document: &Document, services: &[Service], report: &mut Report) -> Vec<Route> {
+    let mut routes = Vec::new();
+    let mut lines = Vec::new();
+    for section in document.sections_of("route") {
+        let id = section.split_name().1;
+        if let Some(message) = check::plain_id(id).filter(|_| !id.is_empty()) {
+            report.push(at_section(document, section, "id", message));
+        }
+        let mut reader = Reader::new(document, section, report);
+        let route = route(&mut reader, id, services);
+        reader.finish();
+        lines.push((route.host.clone(), route.path.clone(), section));
+        routes.push(route);
+    }
+    lines.sort_by(|left, right| (&left.0, &left.1).cmp(&(&right.0, &right.1)));
+    for pair in lines.windows(2) {
+        let [(host, path, first), (other_host, other_path, second)] = pair else {
+            continue;
+        };
+        if host == other_host && path == other_path && first.name != second.name {
+            let message = format!("same host and path as {}", first.name);
+            report.push(at_section(document, second, "duplicate-route", message));
+        }
+    }
+    sort_routes(&mut routes);
+    routes
+}
+
+/// Puts routes in the order in which requests are matched.
+pub fn sort_routes(routes: &mut [Route]) {
+    routes.sort_by(|left, right| {
+        left.host
+            .cmp(&right.host)
+            .then_with(|| right.path.len().cmp(&left.path.len()))
+            .then_with(|| left.path.cmp(&right.path))
+    });
+}
+
+fn route(reader: &mut Reader<'_>, id: &str, services: &[Service]) -> Route {
+    let host = Arc::from(reader.text("host").to_ascii_lowercase());
+    check::host(reader, &host);
+    let path = reader.text("path");
+    check::path(reader, "path", &path);
+    if !path.is_empty() && !path.ends_with('/') {
+        let message = "the path of a route must end with /".to_owned();
+        reader.found("path", "path", message);
+    }
+    let timeout = reader.millis_within("deadline_ms", DEFAULT_DEADLINE, range::DEADLINE_MS);
+    Route {
+        id: Arc::from(id),
+        host,
+        path,
+        parts: parts(reader, services),
+        idempotent: reader.answer("idempotent", false),
+        timeout,
+        goal: reader.millis_within("goal_ms", timeout, range::GOAL_MS),
+        priority: reader.bounded("priority", 0, range::PRIORITY),
+        attempts: reader.bounded("attempts", DEFAULT_ATTEMPTS, range::ATTEMPTS),
+    }
+}
+
+fn parts(reader: &mut Reader<'_>, services: &[Service]) -> Vec<Part> {
+    if !reader.has("services") {
+        reader.text("services");
+        return Vec::new();
+    }
+    let mut parts: Vec<Part> = Vec::new();
+    for word in reader.words("services") {
+        let (service, weight) = word.split_once(':').unwrap_or((&word, "1"));
+        let weight = match weight.parse::<u32>() {
+            Ok(weight) if range::PART_WEIGHT.contains(&weight) => weight,
+            _ => {
+                let end = range::PART_WEIGHT.end();
+                let message = format!("'{word}' is not SERVICE:WEIGHT with a weight of 0 to {end}");
+                reader.found("services", "value", message);
+                continue;
+            }
+        };
+        if services
+            .binary_search_by(|known| (*known.id).cmp(service))
+            .is_err()
+        {
+            let message = format!("no [service {service}] in this file");
+            reader.found("services", "route-service", message);
+        }
+        if parts.iter().any(|part| *part.service == *service) {
+            let message = format!("'{service}' is stated twice");
+            reader.found("services", "route-service", message);
+            continue;
+        }
+        let service = Arc::from(service);
+        parts.push(Part { service, weight });
+    }
+    if !parts.is_empty() && parts.iter().all(|part| part.weight == 0) {
+        let message = "at least one service needs a weight above 0".to_owned();
+        reader.found("services", "value", message);
+    }
+    if parts.len() > *range::PARTS.end() {
+        let message = format!("{} services; at most {}", parts.len(), range::PARTS.end());
+        reader.found("services", "range", message);
+    }
+    parts
+}
+
+fn check_services(
+    document: &Document,
+    services: &[Service],
+    routes: &[Route],
+    report: &mut Report,
+) {
     for service in services {
         check::kinds(document, service, report);
         let id = &service.id;
-        if !service.kinds.is_empty() {
+        // A file with routes may carry services that routes moved away from.
+        if !service.kinds.is_empty() || !routes.is_empty() {
             continue;
         }
         let Some(section) = document.section(&format!("service {id}")) else {
--- a/crates/basilbay_model/src/config/print.rs
+++ b/crates/basilbay_model/src/config/print.rs
@@ -5,11 +5,13 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
-use super::parse::{POLICIES, STATES};
+use super::parse::{LIMIT_RULES, POLICIES, STATES};
 use super::{Config, Limits};
 use crate::domain::{Domain, State};
 use crate::kind::Kind;
+use crate::route::Route;
 use crate::service::{Contract, Policy, Service};
 
 /// A section with its keys and values, as the file states them.
@@ -21,7 +23,7 @@
     pub entries: Vec<(&'static str, String)>,
 }
 
-/// All sections: the version, the limits, then domains, services and kinds by id.
+/// All sections: the version, the limits, then domains, services with their kinds, and routes.
 pub fn sections(config: &Config) -> Vec<Section> {
     let version = section("basilbay", vec![("version", config.version.to_string())]);
     let mut sections = vec![version, limits(&config.limits)];
@@ -30,6 +32,7 @@
         sections.push(service(known));
         sections.extend(known.kinds.iter().map(|entry| kind(known, entry)));
     }
+    sections.extend(config.routes.iter().map(route));
     sections
 }
 
@@ -55,7 +58,7 @@
 }
 
 fn limits(limits: &Limits) -> Section {
-    let entries = vec![
+    let mut entries = vec![
         ("retry_percent", limits.retry_percent.to_string()),
         ("allowance", limits.allowance.to_string()),
         (
@@ -63,7 +66,15 @@
             limits.key_retention.as_millis().to_string(),
         ),
         ("key_memory_bytes", limits.key_memory_bytes.to_string()),
+        ("retry_window_ms", millis(limits.retry_window)),
+        ("header_bytes", limits.header_bytes.to_string()),
+        ("body_bytes", limits.body_bytes.to_string()),
+        ("header_timeout_ms", millis(limits.header_timeout)),
+        ("idle_timeout_ms", millis(limits.idle_timeout)),
     ];
+    if let Some(slack) = limits.retry_slack {
+        entries.push(("retry_slack", slack.to_string()));
+    }
     section("limits", entries)
 }
 
@@ -86,7 +97,7 @@
 }
 
 fn contract(contract: &Contract) -> Vec<(&'static str, String)> {
-    vec![
+    let mut entries = vec![
         ("slots", contract.slots.to_string()),
         ("connections", contract.connections.to_string()),
         ("queue", contract.queue.to_string()),
@@ -94,7 +105,40 @@
         ("warm_after", contract.warm_after.to_string()),
         ("probe_permille", contract.probe_permille.to_string()),
         ("probe_cost_us", contract.probe_cost.as_micros().to_string()),
-    ]
+        ("slow_percent", contract.slow_percent.to_string()),
+        ("probe_gap_ms", millis(contract.probe_gap)),
+        ("cold_rate", contract.cold_rate.to_string()),
+        ("cold_ms", millis(contract.cold)),
+        ("limit", word(&LIMIT_RULES, contract.limit)),
+    ];
+    if let Some(path) = &contract.health_path {
+        entries.push(("health_path", path.to_string()));
+    }
+    entries
+}
+
+fn route(route: &Route) -> Section {
+    let parts: Vec<String> = route
+        .parts
+        .iter()
+        .map(|part| format!("{}:{}", part.service, part.weight))
+        .collect();
+    let idempotent = if route.idempotent { "yes" } else { "no" };
+    let entries = vec![
+        ("host", route.host.to_string()),
+        ("path", route.path.to_string()),
+        ("services", parts.join(" ")),
+        ("idempotent", idempotent.to_owned()),
+        ("deadline_ms", millis(route.timeout)),
+        ("goal_ms", millis(route.goal)),
+        ("priority", route.priority.to_string()),
+        ("attempts", route.attempts.to_string()),
+    ];
+    section(&format!("route {}", route.id), entries)
+}
+
+fn millis(duration: Duration) -> String {
+    duration.as_millis().to_string()
 }
 
 fn kind(service: &Service, kind: &Kind) -> Section {
--- a/crates/basilbay_model/src/config/range.rs
+++ b/crates/basilbay_model/src/config/range.rs
@@ -38,3 +38,35 @@
 pub const ID_LENGTH: RangeInclusive<usize> = 1..=63;
 /// Characters of a path prefix.
 pub const PATH_LENGTH: RangeInclusive<usize> = 1..=1_024;
+/// `[limits] retry_slack`.
+pub const RETRY_SLACK: RangeInclusive<u32> = 0..=1_000_000;
+/// `[limits] retry_window_ms`, up to ten minutes.
+pub const RETRY_WINDOW_MS: RangeInclusive<u64> = 100..=600_000;
+/// `[limits] header_bytes`; the upper end is what one connection may cost in memory.
+pub const HEADER_BYTES: RangeInclusive<u32> = 256..=1_048_576;
+/// `[limits] body_bytes`, up to a tebibyte.
+pub const BODY_BYTES: RangeInclusive<u64> = 0..=1_099_511_627_776;
+/// `[limits] header_timeout_ms`, up to five minutes.
+pub const HEADER_TIMEOUT_MS: RangeInclusive<u64> = 10..=300_000;
+/// `[limits] idle_timeout_ms`, up to an hour.
+pub const IDLE_TIMEOUT_MS: RangeInclusive<u64> = 100..=3_600_000;
+/// `[service ID] cold_rate`; 0 leaves a cold start to the ramp.
+pub const COLD_RATE: RangeInclusive<u32> = 0..=1_000_000;
+/// `[service ID] cold_ms`, up to an hour.
+pub const COLD_MS: RangeInclusive<u64> = 0..=3_600_000;
+/// `[service ID] slow_percent`; 0 switches the avoidance off.
+pub const SLOW_PERCENT: RangeInclusive<u32> = 0..=100_000;
+/// `[service ID] probe_gap_ms`, up to a minute.
+pub const PROBE_GAP_MS: RangeInclusive<u64> = 10..=60_000;
+/// `[route ID] goal_ms`, up to five minutes.
+pub const GOAL_MS: RangeInclusive<u64> = 1..=300_000;
+/// `[route ID] priority`; 0 is the most urgent.
+pub const PRIORITY: RangeInclusive<u32> = 0..=crate::route::MAX_PRIORITY;
+/// `[route ID] attempts`.
+pub const ATTEMPTS: RangeInclusive<u32> = 1..=17;
+/// Weight of one service of a route.
+pub const PART_WEIGHT: RangeInclusive<u32> = 0..=1_000_000;
+/// Services of one route.
+pub const PARTS: RangeInclusive<usize> = 1..=64;
+/// Characters of a route's host.
+pub const HOST_LENGTH: RangeInclusive<usize> = 1..=253;
--- a/crates/basilbay_model/src/config/rule.rs
+++ b/crates/basilbay_model/src/config/rule.rs
@@ -49,6 +49,11 @@
         "Two kinds of a service have the same path and methods.",
         "Remove one, or change its path or methods.",
     ),
+    rule(
+        "duplicate-route",
+        "Two routes have the same host and path.",
+        "Remove one, or change its host or path.",
+    ),
     rule(
         "duplicate-section",
         "A section stands in the file twice.",
@@ -64,6 +69,11 @@
         "The file is not UTF-8.",
         "Save the file as UTF-8.",
     ),
+    rule(
+        "host",
+        "A route's host is not a host name.",
+        "Use letters, digits, `-`, `_` and `.`; at most 253 characters, without a port.",
+    ),
     rule(
         "id",
         "An id has characters or a length that it may not have.",
@@ -120,7 +130,7 @@
     rule(
         "path",
         "A path cannot be the prefix of a request's path.",
-        "Start it with `/`; use visible ASCII without `?`, `#` and spaces; at most 1024 characters.",
+        "Start it with `/`, and end that of a route with `/` too; use visible ASCII without `?`, `#` and spaces; at most 1024 characters.",
     ),
     rule(
         "range",
@@ -133,6 +143,11 @@
          while the first run lasts.",
         "Shorten `deadline_ms` or raise `key_retention_ms`.",
     ),
+    rule(
+        "route-service",
+        "A route names a service twice, or one that the file does not have.",
+        "Add the `[service ID]` section, or correct the name.",
+    ),
     rule(
         "section-id",
         "A section name lacks its id, or has one that it does not take.",
--- a/crates/basilbay_model/src/id.rs
+++ b/crates/basilbay_model/src/id.rs
@@ -17,6 +17,12 @@
 /// Id of a kind of request within its service.
 pub type KindId = Arc<str>;
 
+/// Id of a route.
+pub type RouteId = Arc<str>;
+
+/// Name that a target gives itself; a new one with each start, at the same address too.
+pub type TargetId = Arc<str>;
+
 /// Version of a published value; it only goes forward.
 pub type Version = u64;
 
--- a/crates/basilbay_model/src/lib.rs
+++ b/crates/basilbay_model/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod ini;
 pub mod kind;
 pub mod roster;
+pub mod route;
 pub mod service;
--- a/crates/basilbay_model/src/roster.rs
+++ b/crates/basilbay_model/src/roster.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{DomainId, InstanceId, RegionId, ServiceId, Version};
+use crate::id::{DomainId, InstanceId, RegionId, ServiceId, TargetId, Version};
 
 /// Milliseconds since the Unix epoch, by the list's clock.
 pub type Stamp = u64;
@@ -45,6 +45,15 @@
     /// Whether it takes work.
     #[serde(default)]
     pub state: State,
+    /// Name of the target's run, if targets have names of their own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<TargetId>,
+    /// When that run started, by the target's clock.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born_ms: Option<Stamp>,
+    /// Requests that the target runs at the same time, if it says so itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
     /// When the list first named it.
     pub listed_at_ms: Stamp,
     /// When the list first called it leaving.
@@ -82,6 +91,12 @@
         self.instances.get(index)
     }
 
+    /// Whether targets have names of their own.
+    pub fn names_runs(&self) -> bool {
+        let mut instances = self.instances.iter();
+        instances.any(|instance| instance.target.is_some())
+    }
+
     /// Instances of a service, in the order of their ids.
     pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Instance> {
         self.instances
--- a/crates/basilbay_model/src/service.rs
+++ b/crates/basilbay_model/src/service.rs
@@ -1,6 +1,7 @@
 //! Services and the contract between a service's targets and the daemons beside them.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,17 @@
     }
 }
 
+/// How many requests a warm target is handed at the same time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LimitRule {
+    /// A limit that follows service times, at most the slots.
+    #[default]
+    Adaptive,
+    /// The slots.
+    Fixed,
+}
+
 /// What one target of a service bears.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Contract {
@@ -51,8 +63,21 @@
     pub cold_slots: u32,
     /// Completions after which a cold target counts as warm.
     pub warm_after: u32,
+    /// Requests a second that a target in cold start bears; 0 leaves it to the ramp alone.
+    pub cold_rate: u32,
+    /// Time that a target stays cold after its start, with a `cold_rate`.
+    pub cold: Duration,
+    /// How the limit below the slots is found.
+    pub limit: LimitRule,
+    /// Path that answers with the target's health and load.
+    pub health_path: Option<Arc<str>>,
+    /// Time that work takes on a target, in percent of the usual, from which new work avoids it; 0
+    /// for never.
+    pub slow_percent: u32,
     /// Share of the target's time that measuring may take, in parts per thousand.
     pub probe_permille: u32,
+    /// Shortest time between two probes.
+    pub probe_gap: Duration,
     /// Time the target spends on one probe.
     pub probe_cost: Duration,
 }
@@ -65,7 +90,13 @@
             queue: 18,
             cold_slots: 2,
             warm_after: 200,
+            cold_rate: 0,
+            cold: Duration::from_secs(3),
+            limit: LimitRule::Adaptive,
+            health_path: None,
+            slow_percent: 200,
             probe_permille: 10,
+            probe_gap: Duration::from_secs(1),
             probe_cost: Duration::from_millis(6),
         }
     }
--- a/crates/basilbay_routing/src/board.rs
+++ b/crates/basilbay_routing/src/board.rs
@@ -227,6 +227,16 @@
         }
     }
 
+    /// Notes that a target's daemon is back after it said that it leaves.
+    pub fn rejoin(&mut self, id: &str) {
+        if let Some(index) = self.position(id) {
+            let target = &mut self.targets[index];
+            target.left = false;
+            target.load = Load::default();
+            target.heard_at = None;
+        }
+    }
+
     /// Notes a request that is sent to a target.
     pub fn start(&mut self, index: usize, outstanding: Outstanding) {
         let target = &mut self.targets[index];
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -7,24 +7,31 @@
 //! passes the rest on, and a repeated attempt passes none on: with allowance A, a chain of any
 //! depth runs its last call at most A + 1 times.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use basilbay_wire::problem::Outcome;
 
 /// Refusals after which a call gives up; by then it was refused by full targets and by queues.
 pub const MAX_REFUSALS: u8 = 8;
 
-/// Retries a second that a service may always make, however few calls it has.
+/// Retries a second that a service may always make without a fleet-wide slack, however few calls
+/// it has.
 const FLOOR_PER_SECOND: f64 = 3.0;
 
-/// Most retries that a budget saves up.
+/// Most retries that a budget without a fleet-wide slack saves up.
 const RESERVE: f64 = 20.0;
 
+/// Part of its share of a fleet-wide slack that a daemon uses in one window: what it saves up and
+/// what it gains meanwhile are each half, so that no window of the whole fleet holds more.
+const SLACK_PART: f64 = 0.5;
+
 /// Retries that a service may add to its load.
 #[derive(Clone, Debug)]
 pub struct Budget {
     tokens: f64,
     share: f64,
+    floor_per_second: f64,
+    reserve: f64,
     filled_at: Instant,
 }
 
@@ -34,6 +41,8 @@
         Self {
             tokens: FLOOR_PER_SECOND,
             share: f64::from(percent) / 100.0,
+            floor_per_second: FLOOR_PER_SECOND,
+            reserve: RESERVE,
             filled_at: now,
         }
     }
@@ -43,16 +52,27 @@
         self.share = f64::from(percent) / 100.0;
     }
 
+    /// Makes the daemons of a fleet share `slack` retries in each window, on top of the share of
+    /// calls. A daemon that restarts begins with what it may save up, so the shares add up only
+    /// while few daemons restart in one window.
+    pub fn set_slack(&mut self, slack: u32, window: Duration, daemons: usize) {
+        let own = f64::from(slack) / daemons.max(1) as f64;
+        let part = own * SLACK_PART;
+        self.floor_per_second = part / window.as_secs_f64().max(0.1);
+        self.reserve = part.max(1.0);
+        self.tokens = self.tokens.min(self.reserve);
+    }
+
     /// Notes a call.
     pub fn deposit(&mut self) {
-        self.tokens = (self.tokens + self.share).min(RESERVE);
+        self.tokens = (self.tokens + self.share).min(self.reserve);
     }
 
     /// Takes one retry, if there is one.
     pub fn withdraw(&mut self, now: Instant) -> bool {
         let passed = now.saturating_duration_since(self.filled_at).as_secs_f64();
         self.filled_at = now;
-        self.tokens = (self.tokens + passed * FLOOR_PER_SECOND).min(RESERVE);
+        self.tokens = (self.tokens + passed * self.floor_per_second).min(self.reserve);
         if self.tokens < 1.0 {
             return false;
         }
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -146,7 +146,12 @@
             self.board.sync(Vec::new());
             return;
         };
-        self.budget.set_percent(config.limits.retry_percent);
+        let limits = &config.limits;
+        self.budget.set_percent(limits.retry_percent);
+        if let Some(slack) = limits.retry_slack {
+            let daemons = roster.instances.len();
+            self.budget.set_slack(slack, limits.retry_window, daemons);
+        }
         self.board.slots = service.contract.slots;
         if service.policy != self.name {
             self.name = service.policy;
--- a/crates/basilbay_wire/src/hop.rs
+++ b/crates/basilbay_wire/src/hop.rs
@@ -33,6 +33,9 @@
     pub weight: u32,
     /// Time that is left; a remaining time crosses processes without a shared clock.
     pub timeout_ms: u32,
+    /// Time that is left until an answer is of less use; 0 when it is already.
+    #[serde(default)]
+    pub goal_ms: u32,
     /// Extra attempts that are left for the whole chain.
     pub allowance: u8,
     /// Calls above this one.
--- a/crates/basilbay_wire/src/load.rs
+++ b/crates/basilbay_wire/src/load.rs
@@ -43,4 +43,7 @@
     pub latency_us: u32,
     /// What happens to new work.
     pub state: State,
+    /// Whether others on its machine slow the target at this moment.
+    #[serde(default)]
+    pub is_slowed: bool,
 }
--- a/crates/basilbay_wire/src/problem.rs
+++ b/crates/basilbay_wire/src/problem.rs
@@ -47,12 +47,20 @@
     UnknownService,
     /// The header section is too large.
     HeadersTooLarge,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The headers did not come in time.
+    TooSlow,
     /// The call chain is too deep.
     TooDeep,
     /// The key was used with another content.
     KeyReused,
     /// No target has room.
     NoCapacity,
+    /// The target itself took no more work.
+    TargetBusy,
+    /// Others on its machine slow the target at this moment.
+    TargetSlowed,
     /// The service is out, or all its failure domains are.
     ServiceOut,
     /// The target or the daemon is leaving.
@@ -73,13 +81,17 @@
 
 impl Cause {
     /// Every cause, for the reference page and its test.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 18] = [
         Self::BadRequest,
         Self::UnknownService,
         Self::HeadersTooLarge,
+        Self::BodyTooLarge,
+        Self::TooSlow,
         Self::TooDeep,
         Self::KeyReused,
         Self::NoCapacity,
+        Self::TargetBusy,
+        Self::TargetSlowed,
         Self::ServiceOut,
         Self::Leaving,
         Self::Unconfirmed,
@@ -96,11 +108,16 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::TooDeep => StatusCode::LOOP_DETECTED,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::NoCapacity | Self::ServiceOut | Self::Leaving | Self::Unconfirmed => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoCapacity
+            | Self::TargetBusy
+            | Self::TargetSlowed
+            | Self::ServiceOut
+            | Self::Leaving
+            | Self::Unconfirmed => StatusCode::SERVICE_UNAVAILABLE,
             Self::Poisoned => StatusCode::FORBIDDEN,
             Self::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
             Self::TargetFailed | Self::KeyUnknown | Self::PeerFailed => StatusCode::BAD_GATEWAY,
@@ -113,9 +130,13 @@
             Self::BadRequest => "bad-request",
             Self::UnknownService => "unknown-service",
             Self::HeadersTooLarge => "headers-too-large",
+            Self::BodyTooLarge => "body-too-large",
+            Self::TooSlow => "too-slow",
             Self::TooDeep => "too-deep",
             Self::KeyReused => "key-reused",
             Self::NoCapacity => "no-capacity",
+            Self::TargetBusy => "target-busy",
+            Self::TargetSlowed => "target-slowed",
             Self::ServiceOut => "service-out",
             Self::Leaving => "leaving",
             Self::Unconfirmed => "unconfirmed",
@@ -138,9 +159,13 @@
             Self::BadRequest => "The request cannot be read",
             Self::UnknownService => "No such service or path",
             Self::HeadersTooLarge => "The headers are too large",
+            Self::BodyTooLarge => "The body is too large",
+            Self::TooSlow => "The headers came too slowly",
             Self::TooDeep => "The call chain is too deep",
             Self::KeyReused => "The idempotency key was used for another request",
             Self::NoCapacity => "No target has room",
+            Self::TargetBusy => "The target took no more work",
+            Self::TargetSlowed => "The target is slowed by others on its machine",
             Self::ServiceOut => "The service takes no work",
             Self::Leaving => "The target is leaving",
             Self::Unconfirmed => "The daemon is confirming its view",
@@ -157,6 +182,8 @@
         matches!(
             self,
             Self::NoCapacity
+                | Self::TargetBusy
+                | Self::TargetSlowed
                 | Self::ServiceOut
                 | Self::Leaving
                 | Self::Unconfirmed
