Start requests in calm moments only, below the knee, those that meet their goal first

Change: the gate asks for looks at the target and starts requests in calm moments; those that wait hold no slot. A fixed limit may be a part of the slots. The queue prefers requests that can still meet their goal.

--- a/crates/basilbay_admission/benches/admission.rs
+++ b/crates/basilbay_admission/benches/admission.rs
@@ -42,6 +42,7 @@
             id: self.next,
             weight: 1 + (self.next % 3) as u32,
             deadline: self.now + Duration::from_secs(2),
+            goal_at: self.now + Duration::from_secs(1),
             suspect: false,
             may_wait: true,
         };
--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -23,7 +23,7 @@
 use crate::queue::{self, Queue};
 use crate::ramp::{Answer, Origin, Ramp, Reference};
 use crate::request::{Order, RequestId, Ticket};
-use crate::spell::{Question, Spell, Verdict};
+use crate::spell::{Moment, Spell};
 
 /// How the target is found when the daemon starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,13 +45,15 @@
     Refuse(Cause),
 }
 
-/// What becomes of a request that waited.
+/// What becomes of a request that waited, or what is to be done for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
     /// It is to be handed to the target now.
     Start(RequestId),
     /// It is not run here.
     Refuse(RequestId, Cause),
+    /// The target is to be looked at; [`Gate::looked`] takes the end of the look.
+    Look,
 }
 
 /// How a started request ended.
@@ -94,7 +96,8 @@
     ramp: Ramp,
     pace: Pace,
     spell: Spell,
-    slow_percent: u32,
+    /// Whether a look was asked for that has not ended.
+    look_asked: bool,
     profile: Profile,
     restriction: Option<Restriction>,
     queue: Queue,
@@ -123,7 +126,7 @@
             ramp: Ramp::new(contract, origin),
             pace: Pace::new(contract, start == Start::Restart, now),
             spell: Spell::default(),
-            slow_percent: contract.slow_percent,
+            look_asked: false,
             profile: Profile::default(),
             restriction: None,
             queue: Queue::new(contract.queue),
@@ -149,17 +152,33 @@
             return Decision::Refuse(Cause::BadRequest);
         }
         self.drop_expired_restriction(now);
+        let mut moment = self.spell.moment(now);
         if self.has_room(now) && !self.queue.is_empty() {
             self.settle(now);
         }
         if self.has_room(now) && !(ticket.suspect && self.suspect_runs) {
-            self.start(ticket, now);
-            return Decision::Run;
+            // A target that is slow for good serves those who have no other.
+            if moment == Moment::Calm || (moment == Moment::Slow && ticket.may_wait) {
+                self.start(ticket, now);
+                return Decision::Run;
+            }
+        } else if moment == Moment::Unknown {
+            // A look would not change that there is no room.
+            moment = Moment::Calm;
         }
-        if !ticket.may_wait {
-            return Decision::Refuse(Cause::NoCapacity);
+        let is_hasty = !ticket.may_wait;
+        match moment {
+            Moment::Slowed | Moment::Slow if is_hasty => Decision::Refuse(Cause::TargetSlowed),
+            Moment::Calm if is_hasty => Decision::Refuse(Cause::NoCapacity),
+            Moment::Unknown => {
+                let decision = self.enqueue(ticket, now);
+                if decision == Decision::Wait {
+                    self.ask_look();
+                }
+                decision
+            }
+            _ => self.enqueue(ticket, now),
         }
-        self.enqueue(ticket, now)
     }
 
     /// Reports the end of a started request and returns its service time; none if it is unknown.
@@ -213,15 +232,16 @@
             .restriction
             .map_or(queue, |restriction| restriction.until);
         let pace = self.pace.next_at(now).unwrap_or(queue);
-        Some(queue.min(restriction).min(pace))
+        let look = self.spell.next_look(now).unwrap_or(queue);
+        Some(queue.min(restriction).min(pace).min(look))
     }
 
     /// Takes another contract into force.
     pub fn set_contract(&mut self, contract: &Contract, now: Instant) {
         self.limit.set_slots(contract.slots);
-        self.limit.set_rule(contract.limit);
+        self.limit.set_rule(contract.limit, contract.limit_percent);
         self.set_pace(contract, now);
-        self.slow_percent = contract.slow_percent;
+        self.spell.set_contract(contract);
         self.ramp.set_contract(contract);
         self.queue.set_bound(contract.queue);
         self.settle(now);
@@ -277,18 +297,27 @@
     /// Takes a look at the target's speed: the time that work takes, in percent of the usual.
     pub fn observe_pace(&mut self, percent: u32, now: Instant) {
         self.spell.note(percent, now);
+        self.settle(now);
     }
 
-    /// Decides whether this is the moment to hand a request to the target.
-    pub fn judge(&self, goal_at: Instant, may_move: bool, may_look: bool, now: Instant) -> Verdict {
-        let question = Question {
-            threshold: self.slow_percent,
-            goal_at,
-            usual: self.profile.recent(),
-            may_move,
-            may_look,
+    /// Takes the end of a look that [`Action::Look`] asked for; its figure came before, or none.
+    pub fn looked(&mut self, saw: bool, now: Instant) {
+        self.look_asked = false;
+        if !saw {
+            self.spell.note_blind(now);
+        }
+        self.settle(now);
+        // What waited for the look only goes to another target.
+        if self.look_asked {
+            return;
+        }
+        let cause = match self.spell.moment(now) {
+            Moment::Slowed | Moment::Slow => Cause::TargetSlowed,
+            Moment::Calm | Moment::Unknown => Cause::NoCapacity,
         };
-        self.spell.judge(question, now)
+        let actions = &mut self.actions;
+        self.queue
+            .drop_hasty(|id| actions.push(Action::Refuse(id, cause)));
     }
 
     /// Notes that another run of the target took the place of the one before.
@@ -321,7 +350,7 @@
             queued: self.queue.len() as u32,
             latency_us: u32::try_from(latency).unwrap_or(u32::MAX),
             state: self.state(),
-            is_slowed: self.spell.is_slow(self.slow_percent),
+            is_slowed: self.spell.is_slowed(),
         }
     }
 
@@ -477,9 +506,27 @@
         });
     }
 
+    fn ask_look(&mut self) {
+        if !self.look_asked {
+            self.look_asked = true;
+            self.actions.push(Action::Look);
+        }
+    }
+
     fn start_waiting(&mut self, now: Instant) {
-        while self.has_room(now) {
-            let Some(ticket) = self.queue.pop(self.suspect_runs, now) else {
+        while !self.queue.is_empty() && self.has_room(now) {
+            match self.spell.moment(now) {
+                Moment::Calm | Moment::Slow => {}
+                Moment::Slowed => return,
+                Moment::Unknown => {
+                    self.ask_look();
+                    return;
+                }
+            }
+            let Some(ticket) = self
+                .queue
+                .pop(self.suspect_runs, self.profile.recent(), now)
+            else {
                 return;
             };
             self.start(ticket, now);
--- a/crates/basilbay_admission/src/limit.rs
+++ b/crates/basilbay_admission/src/limit.rs
@@ -118,6 +118,7 @@
 pub struct Limit {
     slots: u32,
     rule: LimitRule,
+    fixed: u32,
     value: f64,
     /// By how much the next good window lets it grow.
     step: f64,
@@ -136,6 +137,7 @@
         Self {
             slots: slots.max(1),
             rule: LimitRule::Adaptive,
+            fixed: slots.max(1),
             value,
             step: value.sqrt(),
             proven: true,
@@ -148,15 +150,16 @@
     /// Requests that may run.
     pub fn allowed(&self) -> u32 {
         match self.rule {
-            LimitRule::Fixed => self.slots,
+            LimitRule::Fixed => self.fixed,
             // The value is between 1 and `slots`, which fits.
             LimitRule::Adaptive => self.value as u32,
         }
     }
 
-    /// Takes another rule.
-    pub fn set_rule(&mut self, rule: LimitRule) {
+    /// Takes another rule; a fixed limit is `percent` of the slots.
+    pub fn set_rule(&mut self, rule: LimitRule, percent: u32) {
         self.rule = rule;
+        self.fixed = (self.slots.saturating_mul(percent) / 100).clamp(1, self.slots);
     }
 
     /// Takes another number of slots; a higher one is approached by growth.
--- a/crates/basilbay_admission/src/queue.rs
+++ b/crates/basilbay_admission/src/queue.rs
@@ -1,6 +1,7 @@
 //! Requests that wait for a slot.
 //!
-//! A calm queue is served in the order of arrival. One that has not been empty for as long as a
+//! Requests that can still meet their goal go before those that cannot, whose answer is of less use
+//! whenever it comes. A calm queue is otherwise served in the order of arrival. One that has not been empty for as long as a
 //! request should wait is overloaded: then the heaviest kind comes first and of each kind the
 //! newest, which has the most time left, and requests that waited too long are refused while
 //! their caller can still try another target.
@@ -85,17 +86,20 @@
     }
 
     /// Takes the request that is to run next, passing over suspects if asked to.
-    pub fn pop(&mut self, skip_suspects: bool, now: Instant) -> Option<Ticket> {
-        let eligible = |waiting: &&Waiting| !(skip_suspects && waiting.ticket.suspect);
-        let index = if self.is_overloaded(now) {
-            let candidates = self.waiting.iter().enumerate();
-            candidates
-                .filter(|(_, waiting)| eligible(waiting))
-                .max_by_key(|(_, waiting)| waiting.ticket.weight)?
-                .0
-        } else {
-            self.waiting.iter().position(|waiting| eligible(&waiting))?
-        };
+    pub fn pop(&mut self, skip_suspects: bool, service: Duration, now: Instant) -> Option<Ticket> {
+        let is_overloaded = self.is_overloaded(now);
+        let candidates = self.waiting.iter().enumerate();
+        let index = candidates
+            .filter(|(_, waiting)| !(skip_suspects && waiting.ticket.suspect))
+            .max_by_key(|(index, waiting)| {
+                let meets_goal = now + service <= waiting.ticket.goal_at;
+                // Of equals the last one is taken: the newest under overload, else the oldest.
+                match is_overloaded {
+                    true => (meets_goal, waiting.ticket.weight, *index),
+                    false => (meets_goal, 0, usize::MAX - index),
+                }
+            })?
+            .0;
         Some(self.remove_at(index))
     }
 
@@ -150,6 +154,17 @@
         self.note_empty();
     }
 
+    /// Removes the requests that were not to wait for a slot.
+    pub fn drop_hasty(&mut self, mut refuse: impl FnMut(RequestId)) {
+        self.waiting.retain(|waiting| {
+            if !waiting.ticket.may_wait {
+                refuse(waiting.ticket.id);
+            }
+            waiting.ticket.may_wait
+        });
+        self.note_empty();
+    }
+
     /// Removes all requests.
     pub fn clear(&mut self, mut refuse: impl FnMut(RequestId)) {
         for waiting in self.waiting.drain(..) {
--- a/crates/basilbay_admission/src/request.rs
+++ b/crates/basilbay_admission/src/request.rs
@@ -20,6 +20,8 @@
     pub weight: u32,
     /// When the caller stops waiting.
     pub deadline: Instant,
+    /// When an answer is of full use at the latest.
+    pub goal_at: Instant,
     /// Whether the request was on a target that crashed.
     pub suspect: bool,
     /// Whether the request may wait here; otherwise it is refused when it cannot run at once, so
--- a/crates/basilbay_admission/src/spell.rs
+++ b/crates/basilbay_admission/src/spell.rs
@@ -1,90 +1,109 @@
 //! Spells in which a target is slowed by others on its machine.
 //!
 //! Such a spell lasts for some tens to hundreds of milliseconds, and the time of a request follows
-//! the speed of the machine at its start. A request is therefore handed over in a calm moment: the
-//! last look at the target must be a few milliseconds old at most, and in a slow spell the request
-//! moves to another target, or waits for the end of the spell while that still serves its goal.
+//! the speed of the machine at its start: one that starts in a spell takes several times as long
+//! as one that waits for the end of the spell. Requests are therefore handed over in calm moments
+//! only, and a moment counts as calm when the target was looked at a few milliseconds ago.
 
 use std::time::{Duration, Instant};
 
-/// Age up to which a look at the target holds; with spells of 150 ms, one look in 30 is outdated.
-const LOOK_AGE: Duration = Duration::from_millis(5);
+use basilbay_model::service::Contract;
 
-/// Time between two looks while a request waits for the end of a spell.
-const LOOK_GAP: Duration = Duration::from_millis(15);
+/// Age up to which a calm look holds; with spells of 150 ms, one look in 30 is outdated by then.
+const CALM_AGE: Duration = Duration::from_millis(5);
 
-/// Time without slow work before a goal that is kept for the way back of the answer.
-const MARGIN: Duration = Duration::from_millis(10);
+/// Time between two looks during a spell.
+const SLOW_AGE: Duration = Duration::from_millis(15);
+
+/// Time after a failed look for which the target counts as calm: without looks, work must go on.
+const BLIND_AGE: Duration = Duration::from_millis(20);
+
+/// Time after which a slow target is not slowed for a spell but slow: three spells of 150 ms.
+const LONGEST: Duration = Duration::from_millis(450);
+
+/// What the target's machine is like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Moment {
+    /// As usual, or nothing is known and nothing can be.
+    Calm,
+    /// Slowed for a spell.
+    Slowed,
+    /// Slow for so long that waiting does not help.
+    Slow,
+    /// Nothing is known; a look would tell.
+    Unknown,
+}
 
 /// What is known of the target's speed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Spell {
-    percent: u32,
+    threshold: u32,
+    looks: bool,
+    is_slow: bool,
+    slow_since: Option<Instant>,
     seen_at: Option<Instant>,
-}
-
-/// A request that is about to be handed over.
-#[derive(Clone, Copy, Debug)]
-pub struct Question {
-    /// Time that work takes, in percent of the usual, from which a target counts as slowed.
-    pub threshold: u32,
-    /// When the answer is of full use at the latest.
-    pub goal_at: Instant,
-    /// Usual service time.
-    pub usual: Duration,
-    /// Whether another target may take the request.
-    pub may_move: bool,
-    /// Whether the target may be looked at now.
-    pub may_look: bool,
-}
-
-/// What to do with the request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Hand it over.
-    Run,
-    /// Look at the target first.
-    Look,
-    /// Give it to another target.
-    Move,
-    /// Ask again at this time, after a new look.
-    Wait(Instant),
+    blind_until: Option<Instant>,
 }
 
 impl Spell {
+    /// Takes another contract; a target without a health path cannot be looked at.
+    pub fn set_contract(&mut self, contract: &Contract) {
+        self.threshold = contract.slow_percent;
+        self.looks = contract.slow_percent > 0 && contract.health_path.is_some();
+    }
+
     /// Takes a look: the time that work takes, in percent of the usual.
     pub fn note(&mut self, percent: u32, now: Instant) {
-        self.percent = percent;
+        self.is_slow = self.threshold > 0 && percent >= self.threshold;
+        self.slow_since = match self.is_slow {
+            true => self.slow_since.or(Some(now)),
+            false => None,
+        };
         self.seen_at = Some(now);
     }
 
+    /// Notes that a look failed.
+    pub fn note_blind(&mut self, now: Instant) {
+        self.blind_until = Some(now + BLIND_AGE);
+    }
+
     /// Whether the last look showed a slowed target.
-    pub fn is_slow(&self, threshold: u32) -> bool {
-        threshold > 0 && self.seen_at.is_some() && self.percent >= threshold
+    pub fn is_slowed(&self) -> bool {
+        self.is_slow
     }
 
-    /// Decides about a request.
-    pub fn judge(&self, question: Question, now: Instant) -> Verdict {
-        if question.threshold == 0 {
-            return Verdict::Run;
-        }
-        let is_fresh = self
-            .seen_at
-            .is_some_and(|at| now.saturating_duration_since(at) <= LOOK_AGE);
-        if !is_fresh && question.may_look {
-            return Verdict::Look;
+    /// What is known of this moment.
+    pub fn moment(&self, now: Instant) -> Moment {
+        if !self.looks {
+            return Moment::Calm;
         }
-        if !is_fresh || !self.is_slow(question.threshold) {
-            return Verdict::Run;
+        let age = self.seen_at.map(|at| now.saturating_duration_since(at));
+        let holds = if self.is_slow { SLOW_AGE } else { CALM_AGE };
+        if age.is_none_or(|age| age > holds) {
+            let is_blind = self.blind_until.is_some_and(|until| now < until);
+            return if is_blind {
+                Moment::Calm
+            } else {
+                Moment::Unknown
+            };
         }
-        if question.may_move {
-            return Verdict::Move;
+        let lasts = self
+            .slow_since
+            .map(|since| now.saturating_duration_since(since));
+        match lasts {
+            None => Moment::Calm,
+            Some(lasts) if lasts < LONGEST => Moment::Slowed,
+            Some(_) => Moment::Slow,
         }
-        // The last start that still meets the goal in a calm moment.
-        let latest = question.goal_at.checked_sub(question.usual + MARGIN);
-        match latest {
-            Some(latest) if now + LOOK_GAP <= latest => Verdict::Wait(now + LOOK_GAP),
-            _ => Verdict::Run,
+    }
+
+    /// When the target is to be looked at again while requests wait for the end of a spell.
+    pub fn next_look(&self, now: Instant) -> Option<Instant> {
+        match self.moment(now) {
+            Moment::Slowed => self
+                .seen_at
+                .map(|at| at + SLOW_AGE + Duration::from_micros(1)),
+            _ => None,
         }
     }
 }
--- a/crates/basilbay_admission/tests/gate.rs
+++ b/crates/basilbay_admission/tests/gate.rs
@@ -233,6 +233,7 @@
                 Action::Refuse(id, _) => {
                     self.waiting.remove(&id).expect("refused one that waits");
                 }
+                Action::Look => panic!("a target without a health path is not looked at"),
             }
         }
     }
--- a/crates/basilbay_admission/tests/support/request.rs
+++ b/crates/basilbay_admission/tests/support/request.rs
@@ -17,6 +17,7 @@
         id,
         weight,
         deadline: now + Duration::from_millis(millis),
+        goal_at: now + Duration::from_millis(millis),
         suspect: false,
         may_wait: true,
     }
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -12,7 +12,6 @@
 use basilbay_admission::gate::{Action, Closed, Completion, Decision, Gate, Place, Start};
 use basilbay_admission::probe::Report;
 use basilbay_admission::request::{RequestId, Ticket};
-use basilbay_admission::spell::Verdict;
 use basilbay_model::service::Contract;
 use basilbay_wire::load::{Load, State};
 use basilbay_wire::problem::{Cause, Problem};
@@ -37,6 +36,8 @@
     pub weight: u32,
     /// When its time is up.
     pub deadline: Instant,
+    /// When an answer is of full use at the latest.
+    pub goal_at: Instant,
     /// Whether it may crash the target.
     pub suspect: bool,
     /// Whether it may wait for a slot.
@@ -64,6 +65,7 @@
 pub struct Admission {
     desk: Mutex<Desk>,
     queued: Notify,
+    look: Notify,
 }
 
 impl std::fmt::Debug for Admission {
@@ -94,6 +96,7 @@
                 refused: 0,
             }),
             queued: Notify::new(),
+            look: Notify::new(),
         })
     }
 
@@ -107,11 +110,12 @@
                 id,
                 weight: demand.weight,
                 deadline: demand.deadline,
+                goal_at: demand.goal_at,
                 suspect: demand.suspect,
                 may_wait: demand.may_wait,
             };
             let decision = desk.gate.offer(ticket, Instant::now());
-            desk.act();
+            self.act(&mut desk);
             match decision {
                 Decision::Run => return Ok(self.slot(&mut desk, id, demand.fingerprint)),
                 Decision::Refuse(cause) => return Err(desk.refuse(cause)),
@@ -160,7 +164,7 @@
     pub fn set_contract(&self, contract: &Contract) {
         let mut desk = self.lock();
         desk.gate.set_contract(contract, Instant::now());
-        desk.act();
+        self.act(&mut desk);
     }
 
     /// Takes the usual service time of warm siblings.
@@ -172,25 +176,39 @@
     pub fn set_state(&self, reason: Closed, holds: bool) {
         let mut desk = self.lock();
         desk.gate.set_state(reason, holds, Instant::now());
-        desk.act();
+        self.act(&mut desk);
     }
 
     /// Takes what the target says of its cold start: how much longer it lasts.
     pub fn observe_cold(&self, left: Duration) {
         let mut desk = self.lock();
         desk.gate.observe_cold(left, Instant::now());
-        desk.act();
+        self.act(&mut desk);
     }
 
     /// Takes a look at the target's speed.
     pub fn observe_pace(&self, percent: u32) {
-        self.lock().gate.observe_pace(percent, Instant::now());
+        let mut desk = self.lock();
+        desk.gate.observe_pace(percent, Instant::now());
+        self.act(&mut desk);
     }
 
-    /// Decides whether this is the moment to hand a request to the target.
-    pub fn judge(&self, goal_at: Instant, may_move: bool, may_look: bool) -> Verdict {
-        let now = Instant::now();
-        self.lock().gate.judge(goal_at, may_move, may_look, now)
+    /// Takes the end of a look that the gate asked for.
+    pub fn looked(&self, saw: bool) {
+        let mut desk = self.lock();
+        desk.gate.looked(saw, Instant::now());
+        self.act(&mut desk);
+    }
+
+    /// Waits until the gate asks for a look at the target.
+    pub async fn look_wanted(&self) {
+        self.look.notified().await;
+    }
+
+    fn act(&self, desk: &mut Desk) {
+        if desk.act() {
+            self.look.notify_one();
+        }
     }
 
     /// Notes that another run of the target took the place of the one before.
@@ -202,7 +220,7 @@
     pub fn observe(&self, report: Report) {
         let mut desk = self.lock();
         desk.gate.observe_report(report, Instant::now());
-        desk.act();
+        self.act(&mut desk);
     }
 
     /// Fingerprints of the requests on the target.
@@ -235,7 +253,7 @@
         let mut desk = self.lock();
         let now = Instant::now();
         desk.gate.tick(now);
-        desk.act();
+        self.act(&mut desk);
         (desk.gate.queued() > 0).then(|| desk.gate.next_deadline(now).unwrap_or(now))
     }
 
@@ -255,7 +273,7 @@
             desk.completed += 1;
         }
         desk.gate.complete(id, completion, Instant::now());
-        desk.act();
+        self.act(&mut desk);
     }
 
     fn lock(&self) -> MutexGuard<'_, Desk> {
@@ -264,13 +282,19 @@
 }
 
 impl Desk {
-    /// Tells the waiting tasks what became of their requests.
-    fn act(&mut self) {
+    /// Tells the waiting tasks what became of their requests; true when the target is to be looked
+    /// at.
+    fn act(&mut self) -> bool {
+        let mut wants_look = false;
         let actions: Vec<Action> = self.gate.drain_actions().collect();
         for action in actions {
             let (id, result) = match action {
                 Action::Start(id) => (id, Ok(())),
                 Action::Refuse(id, cause) => (id, Err(cause)),
+                Action::Look => {
+                    wants_look = true;
+                    continue;
+                }
             };
             let Ok(index) = self.waiters.binary_search_by_key(&id, |waiter| waiter.id) else {
                 continue;
@@ -278,6 +302,7 @@
             // A task that went away meanwhile notices by itself and cancels.
             let _ = self.waiters.remove(index).sender.send(result);
         }
+        wants_look
     }
 
     fn refuse(&mut self, cause: Cause) -> Problem {
@@ -309,7 +334,7 @@
             // It was started but its task never learned of it, so no byte was sent.
             desk.gate.complete(self.id, Completion::Cancelled, now);
         }
-        desk.act();
+        self.admission.act(&mut desk);
     }
 }
 
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -35,6 +35,7 @@
 use crate::link::Links;
 use crate::platform::{self, Connections, Platform};
 use crate::pool::Pool;
+use crate::record::Volumes;
 use crate::server::{self, Side};
 use crate::settings::Settings;
 use crate::source::Source;
@@ -144,6 +145,8 @@
     pub trust: Trust,
     /// Where metrics go.
     pub metrics: Metrics,
+    /// Bounds on the lines of requests in the log.
+    pub volumes: Volumes,
     /// Cancelled when the daemon shall stop.
     pub stop: CancellationToken,
     own: ArcSwap<Own>,
@@ -200,6 +203,7 @@
             control: Control::bind(identity, settings.seed, traffic).await?,
             trust: Trust::new(now),
             metrics: Metrics::new(settings.statsd, settings.metrics.is_some())?,
+            volumes: Volumes::default(),
             stop: CancellationToken::new(),
             own: ArcSwap::from_pointee(Own::default()),
             is_stopping: AtomicBool::new(false),
@@ -243,6 +247,7 @@
         tokio::spawn(self.admission.clone().drive());
         tokio::spawn(health::drive(self.clone()));
         tokio::spawn(health::measure(self.clone()));
+        tokio::spawn(health::look(self.clone()));
         tokio::spawn(admin::serve(self.clone()));
         tokio::spawn(forget(self.clone()));
         tokio::spawn(gauges(self.clone()));
@@ -531,6 +536,7 @@
         metrics.count(metrics::RUNS_COMPLETED, counts.completed - before.completed);
         metrics.count(metrics::RUNS_REFUSED, counts.refused - before.refused);
         before = counts;
+        daemon.volumes.report();
     }
 }
 
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -24,17 +24,23 @@
 use crate::errand::Errand;
 use crate::home;
 use crate::intake;
+use crate::record::{self, Trail};
 use crate::trace::Context;
 
 /// Serves a request of a caller.
 pub async fn serve(daemon: &Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
     let received_at = Instant::now();
+    let stated = request.headers().get(&daemon.dialect.request_id).cloned();
     let reply = match receive(daemon, request).await {
         Ok((errand, body)) => {
             let span = errand.span("entry", &daemon.settings.id);
             dispatch(daemon, errand, body).instrument(span).await
         }
-        Err(problem) => Reply::Problem(problem),
+        Err(problem) => {
+            let id = stated.as_ref().and_then(|value| value.to_str().ok());
+            record::unread(daemon, id.unwrap_or_default(), &problem);
+            Reply::Problem(problem)
+        }
     };
     let outcome = match &reply {
         Reply::Answer(_) => metrics::CALLS_ANSWERED,
@@ -120,6 +126,19 @@
 
 /// Tries targets until one answers or no further attempt is allowed.
 pub async fn route(daemon: &Arc<Daemon>, errand: &Errand, body: Received) -> Reply {
+    let started = Instant::now();
+    let mut trail = Trail::new(started);
+    let reply = attempt(daemon, errand, body, &mut trail).await;
+    record::request(daemon, errand, &reply, trail.text(), started);
+    reply
+}
+
+async fn attempt(
+    daemon: &Arc<Daemon>,
+    errand: &Errand,
+    body: Received,
+    trail: &mut Trail,
+) -> Reply {
     let Some(shard) = daemon.router(&errand.intake.service) else {
         return Reply::Problem(no_target(errand));
     };
@@ -156,6 +175,7 @@
         };
         let body = &mut course.body;
         let ended = route.run(pick, taken, &mut course.attempts, body).await;
+        trail.note(&ended.id, &ended.reply);
         if !course.goes_on(ended.reply, ended.id, &mut shard.lock().budget) {
             return course.give_up(errand);
         }
--- a/crates/basilbay_daemon/src/front.rs
+++ b/crates/basilbay_daemon/src/front.rs
@@ -9,10 +9,12 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, BytesMut};
 use http::Request;
+use http::header::{CONNECTION, HeaderValue};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,6 +23,8 @@
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
+use basilbay_events::catalogue;
+use basilbay_events::emit;
 use basilbay_wire::problem::{Cause, Problem};
 
 use crate::cut::{self, Fault, Rest};
@@ -47,7 +51,8 @@
 struct Served {
     answer: ReadHalf<DuplexStream>,
     is_last: bool,
-    _task: AbortOnDropHandle<()>,
+    /// Ends with whether the answer was written whole.
+    task: AbortOnDropHandle<bool>,
 }
 
 /// The request whose body is still coming.
@@ -64,6 +69,8 @@
     buffer: BytesMut,
     served: VecDeque<Served>,
     coming: Option<Coming>,
+    /// Requests that were taken so far.
+    started: Arc<AtomicU64>,
     /// Whether no further request is taken.
     is_ending: bool,
     /// Answer to bytes that are no request, sent after all others.
@@ -78,6 +85,7 @@
         buffer: BytesMut::new(),
         served: VecDeque::new(),
         coming: None,
+        started: Arc::default(),
         is_ending: false,
         fault: None,
     };
@@ -112,6 +120,10 @@
             read = reader.read_buf(&mut connection.buffer), if reads => {
                 // A caller that is gone, or will send no more, is not answered any more.
                 if !matches!(read, Ok(count) if count > 0) {
+                    if !connection.served.is_empty() && daemon.volumes.left.admits(Instant::now()) {
+                        let requests = connection.served.len();
+                        emit!(catalogue::LEFT_BY_CALLER, requests);
+                    }
                     return;
                 }
             }
@@ -124,7 +136,9 @@
             }
             read = next_part(&mut connection.served, &mut answer) => {
                 match read {
-                    Ok(0) => connection.answered(),
+                    // What follows a broken answer would be taken for the rest of it.
+                    Ok(0) if !connection.answered().await => return,
+                    Ok(0) => {}
                     Ok(_) => {
                         if writer.write_all_buf(&mut answer).await.is_err() {
                             return;
@@ -133,7 +147,7 @@
                     Err(_) => return,
                 }
             }
-            () = daemon.stop.cancelled(), if is_idle => break,
+            () = daemon.stop.cancelled(), if !connection.is_ending => connection.is_ending = true,
             () = tokio::time::sleep(patience.min(limits.idle_timeout)), if is_idle => {
                 if !connection.buffer.is_empty() {
                     let detail = "the headers were not complete in time";
@@ -236,17 +250,32 @@
         let (ours, theirs) = tokio::io::duplex(PIPE_BYTES);
         let (answer, pipe) = tokio::io::split(ours);
         let daemon = self.daemon.clone();
+        let number = self.started.fetch_add(1, Ordering::AcqRel) + 1;
+        let started = self.started.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let daemon = daemon.clone();
-            async move { Ok::<_, Infallible>(entry::serve(&daemon, request).await) }
+            let started = started.clone();
+            async move {
+                let mut response = entry::serve(&daemon, request).await;
+                // Only behind the last request that was taken: the answers to others still follow.
+                if daemon.stop.is_cancelled() && started.load(Ordering::Acquire) == number {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                Ok::<_, Infallible>(response)
+            }
         });
         let serving = http1::Builder::new()
             .half_close(true)
             .max_headers(crate::server::READ_HEADERS)
             .serve_connection(TokioIo::new(theirs), service);
         let task = tokio::spawn(async move {
-            if let Err(error) = serving.await {
-                tracing::debug!(%error, "request ended");
+            match serving.await {
+                Ok(()) => true,
+                Err(error) => {
+                    tracing::debug!(%error, "an answer broke off");
+                    false
+                }
             }
         });
         let bytes = self.buffer.split_to(head.length);
@@ -254,7 +283,7 @@
         self.served.push_back(Served {
             answer,
             is_last: head.is_last,
-            _task: AbortOnDropHandle::new(task),
+            task: AbortOnDropHandle::new(task),
         });
         self.coming = Some(Coming {
             rest: Rest::new(head.body),
@@ -270,14 +299,19 @@
         }
     }
 
-    /// Notes that the first answer was written to its end.
-    fn answered(&mut self) {
-        let is_last = self.served.pop_front().is_some_and(|served| served.is_last);
+    /// Notes that the first answer ended; whether it was written whole.
+    async fn answered(&mut self) -> bool {
+        let Some(served) = self.served.pop_front() else {
+            return true;
+        };
+        let is_last = served.is_last;
+        let is_whole = served.task.await.unwrap_or(false);
         // Without the rest of its body the next request cannot be found.
         if is_last || (self.served.is_empty() && self.coming.is_some()) {
             self.is_ending = true;
             self.served.clear();
             self.coming = None;
         }
+        is_whole
     }
 }
--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -57,7 +57,6 @@
 #[derive(Debug, Default)]
 pub struct Health {
     is_down: AtomicBool,
-    looking: tokio::sync::Mutex<Looks>,
     judging: tokio::sync::Mutex<()>,
 }
 
@@ -200,25 +199,25 @@
     }
 }
 
-/// Looks at the target before a request is handed to it, for all requests that ask meanwhile.
-/// False when no look could be taken.
-pub async fn look(daemon: &Arc<Daemon>) -> bool {
-    let asked_at = Instant::now();
-    let mut looks = daemon.health.looking.lock().await;
-    let now = Instant::now();
-    // Another request waited for the same look.
-    if looks.last_at.is_some_and(|at| at >= asked_at) {
-        return true;
+/// Looks at the target whenever the gate asks for it, for as long as the daemon runs.
+pub async fn look(daemon: Arc<Daemon>) {
+    let mut looks = Looks::default();
+    loop {
+        daemon.admission.look_wanted().await;
+        let saw = looks.take(Instant::now()) && look_once(&daemon).await;
+        daemon.admission.looked(saw);
     }
+}
+
+/// False when the target could not be looked at.
+async fn look_once(daemon: &Daemon) -> bool {
     let view = daemon.view();
     let service = view.config.service(&daemon.settings.service);
-    let path = service.and_then(|service| service.contract.health_path.clone());
-    let (Some(path), true) = (path, looks.take(now)) else {
+    let Some(path) = service.and_then(|service| service.contract.health_path.clone()) else {
         return false;
     };
     match tokio::time::timeout(LOOK_TIMEOUT, ask_health(daemon, &path)).await {
         Ok(Ok(report)) => {
-            looks.last_at = Some(now);
             daemon.admission.observe(report);
             true
         }
@@ -236,7 +235,6 @@
 /// Looks that were taken on behalf of requests.
 #[derive(Debug, Default)]
 struct Looks {
-    last_at: Option<Instant>,
     /// Looks of the last second.
     recent: VecDeque<Instant>,
 }
--- a/crates/basilbay_daemon/src/lib.rs
+++ b/crates/basilbay_daemon/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod platform;
 pub mod pool;
 pub mod program;
+pub mod record;
 pub mod report;
 pub mod server;
 pub mod settings;
--- /dev/null
+++ b/crates/basilbay_daemon/src/record.rs
@@ -0,0 +1,166 @@
+//! What the log says of each request: one line where it entered, one where it was refused or failed.
+
+use std::fmt::Write;
+use std::time::Instant;
+
+use basilbay_events::catalogue;
+use basilbay_events::emit;
+use basilbay_events::volume::Volume;
+use basilbay_model::id::InstanceId;
+use basilbay_wire::problem::{Outcome, Problem};
+
+use crate::answer::Reply;
+use crate::daemon::Daemon;
+use crate::errand::Errand;
+
+/// Bounds on the lines of requests.
+#[derive(Debug, Default)]
+pub struct Volumes {
+    answered: Volume,
+    not_served: Volume,
+    run: Volume,
+    /// Lines of callers that went away.
+    pub left: Volume,
+}
+
+impl Volumes {
+    /// Logs how many lines were left out since the last call.
+    pub fn report(&self) {
+        let left_out = [
+            self.answered.take_left_out(),
+            self.not_served.take_left_out(),
+            self.run.take_left_out(),
+            self.left.take_left_out(),
+        ];
+        if left_out.iter().any(|count| *count > 0) {
+            let [answered, not_served, run, left] = left_out;
+            emit!(catalogue::LINES_LEFT_OUT, answered, not_served, run, left);
+        }
+    }
+}
+
+/// The targets that a request was sent to, how each ended and after how long.
+#[derive(Clone, Debug)]
+pub struct Trail {
+    started: Instant,
+    text: String,
+}
+
+impl Trail {
+    /// A trail that begins now.
+    pub fn new(started: Instant) -> Self {
+        Self {
+            started,
+            text: String::new(),
+        }
+    }
+
+    /// Notes how an attempt ended.
+    pub fn note(&mut self, id: &InstanceId, reply: &Reply) {
+        let after = self.started.elapsed().as_millis();
+        let separator = if self.text.is_empty() { "" } else { " " };
+        // Writing to a string cannot fail.
+        let _ = match reply {
+            Reply::Answer(response) => {
+                let status = response.status().as_u16();
+                write!(self.text, "{separator}{id}:{status}@{after}ms")
+            }
+            Reply::Problem(problem) => {
+                let (cause, outcome) = (problem.cause.slug(), problem.outcome.as_str());
+                write!(self.text, "{separator}{id}:{cause}/{outcome}@{after}ms")
+            }
+        };
+    }
+
+    /// The text.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+}
+
+/// Id of a request in the log: the caller's, or that of its trace.
+pub fn id_of(daemon: &Daemon, errand: &Errand) -> String {
+    let stated = errand.request_id(&daemon.dialect);
+    match stated.and_then(|value| value.to_str().ok()) {
+        Some(id) => id.to_owned(),
+        None => format!("{:032x}", errand.trace.trace),
+    }
+}
+
+/// Logs how a caller's request ended.
+pub fn request(daemon: &Daemon, errand: &Errand, reply: &Reply, tries: &str, since: Instant) {
+    let volumes = &daemon.volumes;
+    let now = Instant::now();
+    let took_ms = now.saturating_duration_since(since).as_millis() as u64;
+    let left_ms = errand.timeout_ms(now);
+    match reply {
+        Reply::Answer(response) if volumes.answered.admits(now) => {
+            emit!(
+                catalogue::REQUEST_ANSWERED,
+                request = id_of(daemon, errand),
+                service = %errand.intake.service,
+                kind = %errand.intake.kind,
+                status = response.status().as_u16(),
+                took_ms,
+                left_ms,
+                tries,
+                config = daemon.view().config.version,
+            );
+        }
+        Reply::Problem(problem) if volumes.not_served.admits(now) => {
+            emit!(
+                catalogue::REQUEST_NOT_SERVED,
+                request = id_of(daemon, errand),
+                service = %errand.intake.service,
+                kind = %errand.intake.kind,
+                cause = problem.cause.slug(),
+                outcome = problem.outcome.as_str(),
+                detail = %problem.detail,
+                took_ms,
+                left_ms,
+                tries,
+                config = daemon.view().config.version,
+                roster = daemon.view().roster.version,
+            );
+        }
+        _ => {}
+    }
+}
+
+/// Logs that a request was refused before it could be told what it asks for.
+pub fn unread(daemon: &Daemon, request: &str, problem: &Problem) {
+    if daemon.volumes.not_served.admits(Instant::now()) {
+        emit!(
+            catalogue::REQUEST_NOT_SERVED,
+            request,
+            cause = problem.cause.slug(),
+            outcome = problem.outcome.as_str(),
+            detail = %problem.detail,
+            config = daemon.view().config.version,
+        );
+    }
+}
+
+/// Logs that the own target did not run a request, or gave no whole answer.
+pub fn run(daemon: &Daemon, errand: &Errand, problem: &Problem) {
+    if !daemon.volumes.run.admits(Instant::now()) {
+        return;
+    }
+    let load = daemon.admission.load();
+    let event = match problem.outcome {
+        Outcome::NotRun => catalogue::RUN_REFUSED,
+        Outcome::Unknown => catalogue::RUN_FAILED,
+    };
+    emit!(
+        event,
+        request = id_of(daemon, errand),
+        kind = %errand.intake.kind,
+        cause = problem.cause.slug(),
+        detail = %problem.detail,
+        state = ?load.state,
+        running = load.in_flight,
+        limit = load.limit,
+        waiting = load.queued,
+        left_ms = errand.timeout_ms(Instant::now()),
+    );
+}
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -11,8 +11,7 @@
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
 use basilbay_admission::gate::Completion;
-use basilbay_admission::spell::Verdict;
-use basilbay_keys::suspect;
+use basilbay_keys::suspect::Verdict;
 use basilbay_wire::header;
 use basilbay_wire::problem::{Cause, Problem};
 
@@ -21,15 +20,19 @@
 use crate::body::{self, Body};
 use crate::daemon::Daemon;
 use crate::errand::{Errand, Terms};
-use crate::health;
 use crate::pool::{Connection, Failure, Pool};
+use crate::record;
 
 /// Runs a request on the own target, once it is admitted.
 pub async fn run(daemon: &Arc<Daemon>, errand: &Errand, terms: Terms, body: Body) -> Reply {
-    match admit(daemon, errand, terms).await {
+    let reply = match admit(daemon, errand, terms).await {
         Ok(slot) => exchange(daemon, errand, terms.allowance, body, slot).await,
         Err(problem) => Reply::Problem(problem),
+    };
+    if let Reply::Problem(problem) = &reply {
+        record::run(daemon, errand, problem);
     }
+    reply
 }
 
 async fn admit(daemon: &Arc<Daemon>, errand: &Errand, terms: Terms) -> Result<Slot, Problem> {
@@ -39,23 +42,20 @@
         return Err(Problem::not_run(Cause::ServiceOut, detail));
     }
     let verdict = daemon.suspects.check(errand.fingerprint, Instant::now());
-    if verdict == suspect::Verdict::Refuse {
+    if verdict == Verdict::Refuse {
         let detail = "targets crashed twice while they ran this request";
         return Err(Problem::not_run(Cause::Poisoned, detail));
     }
     let demand = Demand {
         weight: errand.intake.weight,
         deadline: errand.deadline,
-        suspect: terms.suspect || verdict == suspect::Verdict::Alone,
+        goal_at: errand.goal_at,
+        suspect: terms.suspect || verdict == Verdict::Alone,
         may_wait: terms.may_wait,
         fingerprint: errand.fingerprint,
     };
     check_trust(daemon)?;
     let slot = daemon.admission.enter(demand).await?;
-    if let Err(problem) = await_calm(daemon, errand, !terms.may_wait).await {
-        slot.finish(Completion::Cancelled);
-        return Err(problem);
-    }
     // The process may have stood still while the request waited.
     if let Err(problem) = check_trust(daemon) {
         slot.finish(Completion::Cancelled);
@@ -64,23 +64,6 @@
     Ok(slot)
 }
 
-/// Waits for a moment at which nobody else slows the target, or refuses the request if another
-/// target may take it.
-async fn await_calm(daemon: &Arc<Daemon>, errand: &Errand, may_move: bool) -> Result<(), Problem> {
-    let mut may_look = true;
-    loop {
-        match daemon.admission.judge(errand.goal_at, may_move, may_look) {
-            Verdict::Run => return Ok(()),
-            Verdict::Look => may_look = health::look(daemon).await,
-            Verdict::Move => {
-                let detail = "others on the target's machine slow it at this moment";
-                return Err(Problem::not_run(Cause::TargetSlowed, detail));
-            }
-            Verdict::Wait(until) => tokio::time::sleep_until(until.into()).await,
-        }
-    }
-}
-
 /// Refuses work while the daemon's own view may be out of date.
 fn check_trust(daemon: &Daemon) -> Result<(), Problem> {
     if daemon.trust.holds(Instant::now()) {
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -92,6 +92,23 @@
         "The target accepts connections again." "Nothing; it starts on the ramp.";
     TARGET_REPLACED 304 Info "target-replaced"
         "Another run of the target took the place of the one before; it starts cold." "Nothing.";
+    REQUEST_ANSWERED 400 Info "request-answered"
+        "A caller's request was answered by a target; `tries` names each target, how it ended and when."
+        "Nothing.";
+    REQUEST_NOT_SERVED 401 Warning "request-not-served"
+        "A caller's request was answered by basilbay itself; `cause`, `outcome` and `tries` say why."
+        "See docs/OPERATIONS.md.";
+    RUN_REFUSED 402 Info "run-refused"
+        "The own target's daemon refused a request; `detail` has the figures that decided."
+        "Nothing, unless it lasts.";
+    RUN_FAILED 403 Warning "run-failed"
+        "A request that was handed to the own target got no whole answer."
+        "Look at the target's own log for the request.";
+    LINES_LEFT_OUT 404 Warning "lines-left-out"
+        "More requests were decided about than lines are logged; the metrics count all of them."
+        "Nothing, unless it lasts.";
+    LEFT_BY_CALLER 405 Info "left-by-caller"
+        "A caller went away before its request was answered; the request is cancelled." "Nothing.";
     REQUEST_SUSPECT 500 Warning "request-suspect"
         "The target crashed while it ran this request; after two crashes it is refused."
         "Look at the target's log for what the request does.";
--- a/crates/basilbay_events/src/lib.rs
+++ b/crates/basilbay_events/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catalogue;
 pub mod log;
 pub mod metrics;
+pub mod volume;
 
 #[doc(hidden)]
 pub use tracing;
--- a/crates/basilbay_events/src/log.rs
+++ b/crates/basilbay_events/src/log.rs
@@ -60,12 +60,7 @@
         .with_writer(writer);
     let started = match format {
         Format::Text => builder.with_ansi(false).try_init(),
-        Format::Json => builder
-            .json()
-            .flatten_event(true)
-            .with_current_span(false)
-            .with_span_list(false)
-            .try_init(),
+        Format::Json => builder.json().try_init(),
     };
     started.map_err(|error| anyhow!("cannot start the log: {error}"))?;
     Ok(log)
--- a/crates/basilbay_model/src/config/parse.rs
+++ b/crates/basilbay_model/src/config/parse.rs
@@ -250,6 +250,7 @@
         cold_rate: reader.bounded("cold_rate", default.cold_rate, range::COLD_RATE),
         cold: reader.millis_within("cold_ms", default.cold, range::COLD_MS),
         limit: reader.choice("limit", &LIMIT_RULES, default.limit),
+        limit_percent: reader.bounded("limit_percent", default.limit_percent, range::LIMIT_PERCENT),
         health_path: reader.optional_text("health_path"),
     };
     if let Some(path) = &contract.health_path {
--- a/crates/basilbay_model/src/config/print.rs
+++ b/crates/basilbay_model/src/config/print.rs
@@ -110,6 +110,7 @@
         ("cold_rate", contract.cold_rate.to_string()),
         ("cold_ms", millis(contract.cold)),
         ("limit", word(&LIMIT_RULES, contract.limit)),
+        ("limit_percent", contract.limit_percent.to_string()),
     ];
     if let Some(path) = &contract.health_path {
         entries.push(("health_path", path.to_string()));
--- a/crates/basilbay_model/src/service.rs
+++ b/crates/basilbay_model/src/service.rs
@@ -46,7 +46,7 @@
     /// A limit that follows service times, at most the slots.
     #[default]
     Adaptive,
-    /// The slots.
+    /// A part of the slots.
     Fixed,
 }
 
@@ -69,6 +69,8 @@
     pub cold: Duration,
     /// How the limit below the slots is found.
     pub limit: LimitRule,
+    /// Part of the slots that a fixed limit allows, in percent.
+    pub limit_percent: u32,
     /// Path that answers with the target's health and load.
     pub health_path: Option<Arc<str>>,
     /// Time that work takes on a target, in percent of the usual, from which new work avoids it; 0
@@ -93,6 +95,7 @@
             cold_rate: 0,
             cold: Duration::from_secs(3),
             limit: LimitRule::Adaptive,
+            limit_percent: 100,
             health_path: None,
             slow_percent: 200,
             probe_permille: 10,
