--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -95,6 +95,8 @@
     farewell: Vec<SocketAddr>,
     isolated: bool,
     serves_alone: bool,
+    /// Whether the start is over: everything that was lacking came.
+    has_started: bool,
     actions: Vec<Action>,
 }
 
@@ -142,6 +144,7 @@
             farewell: Vec::new(),
             isolated: false,
             serves_alone: false,
+            has_started: false,
             actions: Vec::new(),
         }
     }
@@ -282,7 +285,7 @@
             Some(Lack::Roster)
         } else if self.hearing.heard_at.is_none() && !waited {
             Some(Lack::Peer)
-        } else if behind && age < CATCH_UP {
+        } else if behind && age < CATCH_UP && !self.has_started {
             Some(Lack::Newer)
         } else {
             None
--- a/crates/basilbay_membership/src/node/drive.rs
+++ b/crates/basilbay_membership/src/node/drive.rs
@@ -42,6 +42,7 @@
         }
         self.say_farewell();
         self.note_isolation(now);
+        self.has_started |= self.lack(now).is_none();
     }
 
     /// Pulls what peers have told of, unless a pull is in flight.
--- a/crates/basilbay_membership/tests/startup.rs
+++ b/crates/basilbay_membership/tests/startup.rs
@@ -69,6 +69,31 @@
     assert_eq!(node.standing(now), Standing::Serving);
 }
 
+// Guards against a new daemon that refuses work for a moment with each change of a busy list, as
+// after a power loss, when many targets come back one after the other.
+#[test]
+fn started_once() {
+    let now = Instant::now();
+    let mut node = Node::new(identity(instance(0, 0, 3)), 1, now);
+    let platform = Origin {
+        source: Source::Platform,
+        ticket: 0,
+    };
+    node.roster(roster(1, &[0; 4], 3), &platform, now);
+    node.config_text(&text(3, ""), &platform, now);
+    let beat = |roster_version| Heartbeat {
+        config_version: 3,
+        roster_version,
+        ..Heartbeat::default()
+    };
+    let peer = instance(1, 0, 3).id;
+    node.heard(&peer, address(1), &beat(1), false, now);
+    node.tick(now);
+    assert_eq!(node.standing(now), Standing::Serving);
+    node.heard(&peer, address(1), &beat(2), false, now);
+    assert_eq!(node.standing(now), Standing::Serving);
+}
+
 fn standing(fleet: &Fleet) -> Standing {
     fleet.nodes[0].0.standing(fleet.at())
 }
