--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -434,6 +434,9 @@
         if queue::last_start(&ticket, service) <= now {
             return Decision::Refuse(Cause::DeadlinePassed);
         }
+        if queue::last_start(&ticket, service) <= now + self.expected_wait(service) {
+            return Decision::Refuse(Cause::NoCapacity);
+        }
         if self.queue.is_full() {
             self.expire(now);
         }
@@ -447,6 +450,13 @@
         Decision::Wait
     }
 
+    /// Time until a request at the end of the queue is started, if each slot is freed once in a
+    /// service time.
+    fn expected_wait(&self, service: Duration) -> Duration {
+        let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        service.saturating_mul(ahead) / self.limit().max(1)
+    }
+
     fn learn(&mut self, result: Completion, sample: Sample) {
         match result {
             Completion::Answered => self.learn_answer(sample),
--- a/crates/basilbay_admission/src/spell.rs
+++ b/crates/basilbay_admission/src/spell.rs
@@ -12,8 +12,11 @@
 /// Age up to which a calm look holds; with spells of 150 ms, one look in 30 is outdated by then.
 const CALM_AGE: Duration = Duration::from_millis(5);
 
-/// Time between two looks during a spell.
-const SLOW_AGE: Duration = Duration::from_millis(15);
+/// Time between two looks during a spell; requests start 10 ms late on average when it ends.
+const SLOW_AGE: Duration = Duration::from_millis(20);
+
+/// Age up to which a slow look holds while no other look can be taken.
+const BLIND_SLOW_AGE: Duration = Duration::from_millis(100);
 
 /// Time after a failed look for which the target counts as calm: without looks, work must go on.
 const BLIND_AGE: Duration = Duration::from_millis(20);
@@ -81,11 +84,12 @@
         let holds = if self.is_slow { SLOW_AGE } else { CALM_AGE };
         if age.is_none_or(|age| age > holds) {
             let is_blind = self.blind_until.is_some_and(|until| now < until);
-            return if is_blind {
-                Moment::Calm
-            } else {
-                Moment::Unknown
-            };
+            if !is_blind {
+                return Moment::Unknown;
+            }
+            if !self.is_slow || age.is_none_or(|age| age > BLIND_SLOW_AGE) {
+                return Moment::Calm;
+            }
         }
         let lasts = self
             .slow_since
@@ -100,9 +104,10 @@
     /// When the target is to be looked at again while requests wait for the end of a spell.
     pub fn next_look(&self, now: Instant) -> Option<Instant> {
         match self.moment(now) {
-            Moment::Slowed => self
-                .seen_at
-                .map(|at| at + SLOW_AGE + Duration::from_micros(1)),
+            Moment::Slowed => {
+                let next = self.seen_at? + SLOW_AGE;
+                Some(next.max(self.blind_until.unwrap_or(next)) + Duration::from_micros(1))
+            }
             _ => None,
         }
     }
--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -41,8 +41,9 @@
 /// Time that a target has to answer a look on behalf of a request, which waits for it.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(40);
 
-/// Looks in any second on behalf of requests; at most 1 ms each, they take 5% of one slot.
-const MAX_LOOKS: usize = 50;
+/// Looks in any second on behalf of requests. At 6 ms, the dearest that is known, they take half of
+/// one slot; that many are needed only while requests wait for the end of a spell.
+const MAX_LOOKS: usize = 80;
 
 /// Largest answer of a load endpoint.
 const MAX_REPORT_BYTES: usize = 16 * 1024;
