--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -226,6 +226,7 @@
             let mut node = self.control.node();
             node.set_start_spread(self.settings.start_spread);
             node.set_serves_alone(self.settings.serves_alone);
+            node.set_readers(self.settings.readers);
         }
         if let Some(address) = self.settings.readiness {
             gauge::serve(self.clone(), address, Page::Readiness).await?;
@@ -241,6 +242,7 @@
             service = %self.settings.service,
             callers = %callers.local_addr()?,
             peers = %peers.local_addr()?,
+            metrics = ?self.settings.metrics,
         );
         tokio::spawn(control::receive(self.clone()));
         tokio::spawn(control::drive(self.clone()));
--- a/crates/basilbay_daemon/src/lib.rs
+++ b/crates/basilbay_daemon/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pool;
 pub mod program;
 pub mod record;
+pub mod reload;
 pub mod report;
 pub mod server;
 pub mod settings;
--- a/crates/basilbay_daemon/src/program.rs
+++ b/crates/basilbay_daemon/src/program.rs
@@ -13,6 +13,7 @@
 use basilbay_model::finding::Report;
 
 use crate::daemon::{Daemon, Result};
+use crate::reload;
 use crate::settings::Settings;
 
 /// Exit code for settings that have findings.
@@ -52,7 +53,11 @@
         println!("{}: no findings", path.display());
         return ExitCode::SUCCESS;
     }
-    match run(settings, making) {
+    let read = {
+        let path = path.clone();
+        move || load(program, &path).map(|(settings, _)| settings)
+    };
+    match run(settings, making, read) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{}: {error:#}", program.name);
@@ -67,7 +72,8 @@
         .about(program.about)
         .after_help(
             "Exit codes: 0 stopped as asked, 1 failed, 2 the settings have findings.\n\
-             SIGTERM and SIGINT stop the daemon; running requests finish first.",
+             SIGTERM and SIGINT stop the daemon; running requests finish first.\n\
+             SIGHUP reads the settings again.",
         )
         .arg(
             Arg::new("settings")
@@ -90,7 +96,11 @@
     Ok((program.parse)(&path.display().to_string(), &bytes)?)
 }
 
-fn run(settings: Settings, making: Making) -> anyhow::Result<()> {
+fn run(
+    settings: Settings,
+    making: Making,
+    read: impl Fn() -> anyhow::Result<Settings> + Send + Sync + 'static,
+) -> anyhow::Result<()> {
     let _log = log::start(
         settings.log_format,
         settings.log_output,
@@ -107,6 +117,7 @@
     let runtime = builder.enable_all().build()?;
     runtime.block_on(async {
         let daemon = making.await?;
+        tokio::spawn(reload::on_hangup(daemon.clone(), read));
         daemon.run().await
     })
 }
--- a/crates/basilbay_daemon/src/settings.rs
+++ b/crates/basilbay_daemon/src/settings.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Context;
 use basilbay_events::log::{Format, Output};
-use basilbay_membership::reader::JITTER;
+use basilbay_membership::reader::{JITTER, READERS};
 use basilbay_model::finding::Report;
 use basilbay_model::id::{DomainId, InstanceId, RegionId, ServiceId};
 use basilbay_model::ini::{Document, Reader, Section};
@@ -27,6 +27,9 @@
 /// Time that running requests have at a stop; longer than usual deadlines.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Most readers of a failure domain; more cost reads and tell nothing sooner.
+const MAX_READERS: usize = 16;
+
 /// Threads of a daemon; two keep it small beside its target.
 const THREADS: usize = 2;
 
@@ -69,6 +72,8 @@
     pub metrics: Option<SocketAddr>,
     /// Time within which all daemons read the platform that start at the same moment.
     pub start_spread: Duration,
+    /// Daemons of each failure domain that read the platform.
+    pub readers: usize,
     /// Whether new work is taken while neither a peer nor the platform is heard.
     pub serves_alone: bool,
     /// Time for which the ports stay open after the daemon was asked to stop.
@@ -82,6 +87,35 @@
 }
 
 impl Settings {
+    /// Names of the settings that differ and take a restart.
+    pub fn differences(&self, other: &Self) -> Vec<&'static str> {
+        let pairs = [
+            ("id", self.id == other.id),
+            ("service", self.service == other.service),
+            ("domain", self.domain == other.domain),
+            ("region", self.region == other.region),
+            ("target", self.target == other.target),
+            ("callers", self.callers == other.callers),
+            ("peers", self.peers == other.peers),
+            ("admin", self.admin == other.admin),
+            ("readiness", self.readiness == other.readiness),
+            ("config", self.config_service == other.config_service),
+            ("instances", self.instance_list == other.instance_list),
+            ("format", self.log_format == other.log_format),
+            ("filter", self.log_filter == other.log_filter),
+            ("spans", self.log_spans == other.log_spans),
+            ("output", self.log_output == other.log_output),
+            ("statsd", self.statsd == other.statsd),
+            ("address", self.metrics == other.metrics),
+            ("linger_ms", self.linger == other.linger),
+            ("patience_ms", self.patience == other.patience),
+            ("threads", self.threads == other.threads),
+            ("seed", self.seed == other.seed),
+        ];
+        let differing = pairs.into_iter().filter(|(_, is_same)| !is_same);
+        differing.map(|(name, _)| name).collect()
+    }
+
     /// Reads a file.
     pub fn load(path: &Path) -> Result<Self> {
         let bytes =
@@ -140,6 +174,7 @@
     let config_service = reader.required("config");
     let instance_list = reader.required("instances");
     let start_spread = reader.millis("start_spread_ms", JITTER);
+    let readers = reader.bounded("readers", READERS, 1..=MAX_READERS);
     reader.finish();
 
     let log = section("log");
@@ -190,6 +225,7 @@
         statsd,
         metrics: metrics_address,
         start_spread,
+        readers,
         serves_alone,
         linger,
         patience,
--- a/crates/basilbay_daemon/tests/readers.rs
+++ b/crates/basilbay_daemon/tests/readers.rs
@@ -32,7 +32,7 @@
     let roster = fleet.platforms[0].roster();
     let mut seats = Vec::new();
     for domain in 1..=fleet.plan.domains {
-        let chosen = reader::readers(&roster, &format!("d-{domain}"), &[]);
+        let chosen = reader::readers(&roster, &format!("d-{domain}"), &[], reader::READERS);
         let id = &chosen[rank];
         seats.extend(fleet.seats_where(|seat| seat.id == **id));
     }
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -59,6 +59,12 @@
         "If it recurs, look for an overloaded or suspended host.";
     CONFIRMED 104 Info "confirmed"
         "After a pause, the view was confirmed and work is taken again." "Nothing.";
+    RELOADED 105 Info "reloaded"
+        "The settings file was read again; `needs_restart` names what differs and takes a restart."
+        "Restart the daemon if something is named.";
+    RELOAD_REFUSED 106 Error "reload-refused"
+        "The settings file has findings or cannot be read; the former settings stay in force."
+        "Correct the file and send the signal again.";
     CONFIG_ACCEPTED 200 Info "config-accepted"
         "A configuration version is in force." "Nothing.";
     CONFIG_REJECTED 201 Error "config-rejected"
--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -95,6 +95,7 @@
     farewell: Vec<SocketAddr>,
     isolated: bool,
     serves_alone: bool,
+    reader_count: usize,
     /// Whether the start is over: everything that was lacking came.
     has_started: bool,
     actions: Vec<Action>,
@@ -144,6 +145,7 @@
             farewell: Vec::new(),
             isolated: false,
             serves_alone: false,
+            reader_count: reader::READERS,
             has_started: false,
             actions: Vec::new(),
         }
@@ -154,6 +156,12 @@
         self.jitter = reader::part_of(spread, &mut self.random);
     }
 
+    /// Sets how many daemons of each failure domain read the platform.
+    pub fn set_readers(&mut self, count: usize) {
+        self.reader_count = count.max(1);
+        self.choose_readers();
+    }
+
     /// Sets whether new work is taken while neither a peer nor the platform is heard.
     pub fn set_serves_alone(&mut self, serves_alone: bool) {
         self.serves_alone = serves_alone;
@@ -371,7 +379,12 @@
 
     fn choose_readers(&mut self) {
         if let Some(roster) = self.listing.roster() {
-            self.readers = reader::readers(roster, &self.identity.domain, &self.hearing.left);
+            self.readers = reader::readers(
+                roster,
+                &self.identity.domain,
+                &self.hearing.left,
+                self.reader_count,
+            );
         }
     }
 
--- a/crates/basilbay_membership/src/reader.rs
+++ b/crates/basilbay_membership/src/reader.rs
@@ -14,7 +14,8 @@
 
 use crate::view::short;
 
-/// Readers in each failure domain: the second covers the time until the first is known to be gone.
+/// Readers in each failure domain by default: the second covers the time until the first is known to
+/// be gone. Where reads have a price and there are several domains, one does: the others cover it.
 pub const READERS: usize = 2;
 
 /// Time between two polls of the roster by a reader.
@@ -58,7 +59,12 @@
 const BACKOFF_OTHER: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(8));
 
 /// Readers of a failure domain among the live instances, the first by rank first.
-pub fn readers(roster: &Roster, domain: &str, left: &[InstanceId]) -> Vec<InstanceId> {
+pub fn readers(
+    roster: &Roster,
+    domain: &str,
+    left: &[InstanceId],
+    count: usize,
+) -> Vec<InstanceId> {
     let live = roster.instances.iter().filter(|instance| {
         &*instance.domain == domain
             && instance.state == State::Live
@@ -68,7 +74,7 @@
         .map(|instance| (rank(domain, &instance.id), &instance.id))
         .collect();
     ranked.sort_by(|left, right| right.cmp(left));
-    ranked.truncate(READERS);
+    ranked.truncate(count);
     ranked.into_iter().map(|(_, id)| id.clone()).collect()
 }
 
--- a/crates/basilbay_membership/tests/reader.rs
+++ b/crates/basilbay_membership/tests/reader.rs
@@ -20,10 +20,10 @@
     #[test]
     fn choice_stable(nodes in 12..40_usize, gone in any::<usize>()) {
         let roster = roster(1, &vec![0; nodes], 3);
-        let before = readers(&roster, "d1", &[]);
+        let before = readers(&roster, "d1", &[], READERS);
         prop_assert_eq!(before.len(), READERS);
         let gone = roster.instances[gone % nodes].id.clone();
-        let after = readers(&roster, "d1", std::slice::from_ref(&gone));
+        let after = readers(&roster, "d1", std::slice::from_ref(&gone), READERS);
         let kept = before.iter().filter(|id| after.contains(id)).count();
         prop_assert_eq!(kept, READERS - usize::from(before.contains(&gone)));
         prop_assert!(!after.contains(&gone));
--- a/crates/basilbay_model/src/config/parse.rs
+++ b/crates/basilbay_model/src/config/parse.rs
@@ -245,6 +245,11 @@
             probe_cost_us,
             range::PROBE_COST_US,
         )),
+        remote_cost: Duration::from_micros(reader.bounded(
+            "remote_cost_us",
+            u64::try_from(default.remote_cost.as_micros()).unwrap_or(u64::MAX),
+            range::REMOTE_COST_US,
+        )),
         slow_percent: reader.bounded("slow_percent", default.slow_percent, range::SLOW_PERCENT),
         probe_gap: reader.millis_within("probe_gap_ms", default.probe_gap, range::PROBE_GAP_MS),
         cold_rate: reader.bounded("cold_rate", default.cold_rate, range::COLD_RATE),
--- a/crates/basilbay_model/src/config/print.rs
+++ b/crates/basilbay_model/src/config/print.rs
@@ -105,6 +105,10 @@
         ("warm_after", contract.warm_after.to_string()),
         ("probe_permille", contract.probe_permille.to_string()),
         ("probe_cost_us", contract.probe_cost.as_micros().to_string()),
+        (
+            "remote_cost_us",
+            contract.remote_cost.as_micros().to_string(),
+        ),
         ("slow_percent", contract.slow_percent.to_string()),
         ("probe_gap_ms", millis(contract.probe_gap)),
         ("cold_rate", contract.cold_rate.to_string()),
--- a/crates/basilbay_model/src/config/range.rs
+++ b/crates/basilbay_model/src/config/range.rs
@@ -54,6 +54,8 @@
 pub const COLD_RATE: RangeInclusive<u32> = 0..=1_000_000;
 /// `[service ID] cold_ms`, up to an hour.
 pub const COLD_MS: RangeInclusive<u64> = 0..=3_600_000;
+/// `[service ID] remote_cost_us`, up to ten seconds.
+pub const REMOTE_COST_US: RangeInclusive<u64> = 0..=10_000_000;
 /// `[service ID] limit_percent`.
 pub const LIMIT_PERCENT: RangeInclusive<u32> = 1..=100;
 /// `[service ID] slow_percent`; 0 switches the avoidance off.
--- a/crates/basilbay_model/src/service.rs
+++ b/crates/basilbay_model/src/service.rs
@@ -73,6 +73,9 @@
     pub limit_percent: u32,
     /// Path that answers with the target's health and load.
     pub health_path: Option<Arc<str>>,
+    /// Time that a request loses on its way to another failure domain and back, or that the bytes
+    /// between domains are worth.
+    pub remote_cost: Duration,
     /// Time that work takes on a target, in percent of the usual, from which new work avoids it; 0
     /// for never.
     pub slow_percent: u32,
@@ -97,6 +100,7 @@
             limit: LimitRule::Adaptive,
             limit_percent: 100,
             health_path: None,
+            remote_cost: Duration::from_millis(1),
             slow_percent: 200,
             probe_permille: 10,
             probe_gap: Duration::from_secs(1),
--- a/crates/basilbay_routing/src/board.rs
+++ b/crates/basilbay_routing/src/board.rs
@@ -167,6 +167,8 @@
     pub targets: Vec<Target>,
     /// Slots of a target by contract, for targets that were not heard yet.
     pub slots: u32,
+    /// What a request to another failure domain costs, in seconds.
+    pub remote_seconds: f64,
     /// Figures over all targets, as of the last review.
     pub summary: Summary,
 }
--- a/crates/basilbay_routing/src/policy/balanced.rs
+++ b/crates/basilbay_routing/src/policy/balanced.rs
@@ -13,9 +13,6 @@
 use super::Policy;
 use crate::board::{Board, Target};
 
-/// Extra time of a request to another failure domain, in seconds: the way there and back.
-const REMOTE_SECONDS: f64 = 0.001;
-
 /// Targets that are compared in each group.
 const CHOICES: usize = 2;
 
@@ -91,7 +88,11 @@
 
 /// Expected time of one more request on a target beyond its usual service time, in seconds.
 fn cost(target: &Target, board: &Board, now: Instant) -> f64 {
-    let distance = if target.is_local { 0.0 } else { REMOTE_SECONDS };
+    let distance = if target.is_local {
+        0.0
+    } else {
+        board.remote_seconds
+    };
     // Service times differ from request to request, so only a clear difference counts.
     let slowness = target.slowness(&board.summary, now) / CLEARLY_SLOWER - 1.0;
     let extra = wait(target, board, now) + slowness.clamp(0.0, MOST_SLOWNESS);
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -153,6 +153,7 @@
             self.budget.set_slack(slack, limits.retry_window, daemons);
         }
         self.board.slots = service.contract.slots;
+        self.board.remote_seconds = service.contract.remote_cost.as_secs_f64();
         if service.policy != self.name {
             self.name = service.policy;
             self.policy = policy::make(service.policy, self.seed);
