--- /dev/null
+++ b/crates/basilbay_daemon/tests/routes.rs
@@ -0,0 +1,144 @@
+//! Routes: hosts and paths that lead to services, with limits and targets that tell their load.
+
+#[allow(dead_code)]
+#[path = "common/call.rs"]
+mod call;
+#[allow(dead_code)]
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use basilbay_fakes::targets::fault::{Change, Straggle};
+use http::Method;
+
+use basilbay_wire::problem::{Cause, Outcome};
+use call::Call;
+use fleet::{Fleet, Plan};
+
+const ROUTES: &str = "\
+[route all]
+host = parts.example
+path = /
+services = desk
+idempotent = yes
+deadline_ms = 5000
+goal_ms = 2000
+
+[route split]
+host = parts.example
+path = /read/split/
+services = desk:3 shop:1
+idempotent = yes
+deadline_ms = 5000
+
+[route short]
+host = parts.example
+path = /read/short/
+services = desk
+idempotent = yes
+deadline_ms = 100
+";
+
+async fn routed(plan: Plan) -> Fleet {
+    let fleet = Fleet::start(plan).await;
+    let text = fleet.plan.config(2).replace(
+        "probe_cost_us = 6000",
+        "probe_cost_us = 6000\nhealth_path = /health\nlimit = fixed",
+    );
+    let text = text.replace(
+        "[limits]\n",
+        "[limits]\nbody_bytes = 1000\nheader_bytes = 2000\n",
+    );
+    fleet
+        .platform
+        .publish(&(text + ROUTES))
+        .expect("the file has no findings");
+    let give_up = Instant::now() + Duration::from_secs(10);
+    for daemon in &fleet.daemons {
+        let call = read("probe");
+        while call.reply(daemon.callers).await.status != 200 {
+            assert!(Instant::now() < give_up, "version 2 is not in force");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    fleet
+}
+
+fn read(id: &str) -> Call {
+    Call::new(Method::GET, &format!("/read/{id}"))
+        .to("PARTS.example:80")
+        .id(id)
+}
+
+/// Guards against requests that a longer path should have had, and shares that are off.
+#[tokio::test(flavor = "multi_thread")]
+async fn split_shares() {
+    let fleet = routed(Plan::new(&[("desk", 2), ("shop", 1)])).await;
+    let mut shop = 0;
+    for n in 0..400 {
+        let entry = fleet.daemons[n % 3].callers;
+        let reply = read("split/x").reply(entry).await;
+        assert_eq!(reply.status, 200, "{reply:?}");
+        shop += u32::from(reply.target().starts_with("shop"));
+    }
+    // A quarter of 400 with four standard deviations of 8.7.
+    assert!((65..=135).contains(&shop), "{shop} of 400 went to shop");
+    let reply = read("x").reply(fleet.entry("shop-1")).await;
+    assert!(reply.target().starts_with("desk"), "{reply:?}");
+}
+
+/// Guards against hosts that no route names, and against bodies and headers beyond the limits.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused() {
+    let fleet = routed(Plan::new(&[("desk", 1), ("shop", 1)])).await;
+    let entry = fleet.entry("shop-1");
+    let unknown = read("x").to("other.example").reply(entry).await;
+    unknown.is_problem(Cause::UnknownService, Outcome::NotRun);
+    let large = Call::submit("x".repeat(1001)).to("parts.example");
+    let large = large.reply(entry).await;
+    large.is_problem(Cause::BodyTooLarge, Outcome::NotRun);
+    let long = read("x").header("x-long", &"y".repeat(2100));
+    let long = long.reply(entry).await;
+    long.is_problem(Cause::HeadersTooLarge, Outcome::NotRun);
+}
+
+/// Guards against a caller that is kept waiting longer than the route allows.
+#[tokio::test(flavor = "multi_thread")]
+async fn route_deadline() {
+    let plan = Plan {
+        median_us: 3_000_000,
+        ..Plan::new(&[("desk", 1), ("shop", 1)])
+    };
+    let fleet = Fleet::start(plan).await;
+    let text = fleet.plan.config(2) + ROUTES;
+    fleet.platform.publish(&text).expect("no findings");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let asked_at = Instant::now();
+    let reply = read("short/x").reply(fleet.entry("shop-1")).await;
+    assert_eq!(reply.status, 504, "{reply:?}");
+    assert!(asked_at.elapsed() < Duration::from_millis(600));
+}
+
+/// Guards against requests that start on a slowed machine though another one is as usual.
+#[tokio::test(flavor = "multi_thread")]
+async fn slowed_machine() {
+    let plan = Plan {
+        median_us: 40_000,
+        ..Plan::new(&[("desk", 2), ("shop", 1)])
+    };
+    let fleet = routed(plan).await;
+    let straggle = Some(Straggle {
+        factor: 10.0,
+        for_ms: 60_000,
+    });
+    let change = Change {
+        straggle,
+        ..Change::default()
+    };
+    fleet.targets.change("desk-1", &change);
+    for n in 0..20 {
+        let reply = read(&format!("calm{n}")).reply(fleet.entry("shop-1")).await;
+        assert_eq!(reply.target(), "desk-2", "{reply:?}");
+    }
+}
--- a/crates/basilbay_fakes/src/targets/request.rs
+++ b/crates/basilbay_fakes/src/targets/request.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use basilbay_wire::dialect::Dialect;
 use basilbay_wire::header;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, RETRY_AFTER};
@@ -16,6 +17,9 @@
 use super::worker::{Call, Running, Worker};
 use crate::web::{self, Closed, Result};
 
+/// Time for which a cold target says that it stays cold: it warms by working, so it cannot know.
+const COLD_MS: &str = "100";
+
 /// What the headers of a request ask for.
 struct Wish {
     request: Arc<str>,
@@ -29,6 +33,9 @@
     if request.method() == Method::GET && request.uri().path() == "/load" {
         return Ok(load(&worker).await);
     }
+    if request.method() == Method::GET && request.uri().path() == "/health" {
+        return Ok(health(&worker).await);
+    }
     let (parts, body) = request.into_parts();
     let Some(kind) = worker.spec.kind(parts.uri.path()) else {
         return Ok(web::empty(StatusCode::NOT_FOUND));
@@ -57,6 +64,30 @@
     web::json(StatusCode::OK, &worker.load())
 }
 
+/// Health, load and cold start in headers, as the default dialect names them.
+async fn health(worker: &Arc<Worker>) -> web::Answer {
+    let load = worker.load();
+    let dialect = Dialect::default();
+    let status = match &*load.state {
+        "draining" => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::OK,
+    };
+    let mut reply = web::empty(status);
+    let percent = worker.pace_percent();
+    let figures = format!("{},0,{},{percent}", load.in_flight, load.slots);
+    let cold_ms = if load.state == "cold" { COLD_MS } else { "0" };
+    for (name, value) in [
+        (&dialect.load, figures.as_str()),
+        (&dialect.answering_run, &worker.spec.id),
+        (&dialect.cold_ms, cold_ms),
+    ] {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            reply.headers_mut().insert(name, value);
+        }
+    }
+    reply
+}
+
 fn wish(parts: &Parts) -> Wish {
     let timeout = text(parts, header::TIMEOUT_MS).and_then(|value| value.parse::<u64>().ok());
     let filler = text(parts, answer::BODY_BYTES).and_then(|value| value.parse::<usize>().ok());
--- a/crates/basilbay_fakes/src/targets/state.rs
+++ b/crates/basilbay_fakes/src/targets/state.rs
@@ -136,6 +136,14 @@
         radius * angle.cos()
     }
 
+    /// Time that others on the machine make a request take, in percent of the usual.
+    pub(super) fn pace_percent(&self, now: Instant) -> u32 {
+        match self.straggle {
+            Some((straggle, until)) if now < until => (straggle * 100.0) as u32,
+            _ => 100,
+        }
+    }
+
     pub(super) fn slowness(&self, spec: &spec::Target, now: Instant) -> f64 {
         let busy = self.in_flight + self.probing;
         let over = f64::from(busy.saturating_sub(spec.slots)) / f64::from(spec.slots);
--- a/crates/basilbay_fakes/src/targets/worker.rs
+++ b/crates/basilbay_fakes/src/targets/worker.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Time that a request takes which starts now, in percent of the usual.
+    pub(super) fn pace_percent(&self) -> u32 {
+        self.state().pace_percent(Instant::now())
+    }
+
     /// Waits while answers are held back.
     pub(super) async fn resumed(&self) {
         loop {
--- a/crates/basilbay_model/tests/checker.rs
+++ b/crates/basilbay_model/tests/checker.rs
@@ -341,3 +341,57 @@
         assert!(rule::find(finding.rule).is_some(), "{}", finding.rule);
     }
 }
+
+const ROUTED: &str = "\
+[basilbay]
+version = 1
+[domain north]
+[service pay]
+[route a]
+host = pay.example
+path = /a/
+services = pay
+";
+
+/// Guards against a route that leads nowhere, hides another one, or cannot be matched.
+#[test]
+fn route_rules() {
+    let cases = [
+        ("host = pay.example", "host = pay example", "host", "host"),
+        ("host = pay.example\n", "", "missing-key", "host"),
+        ("path = /a/", "path = /a", "path", "path"),
+        (
+            "services = pay",
+            "services = other",
+            "route-service",
+            "services",
+        ),
+        (
+            "services = pay",
+            "services = pay pay",
+            "route-service",
+            "services",
+        ),
+        ("services = pay", "services = pay:x", "value", "services"),
+        ("services = pay", "services = pay:0", "value", "services"),
+        ("services = pay\n", "", "missing-key", "services"),
+        (
+            "services = pay",
+            "services = pay\n[route b]\nhost = PAY.example\npath = /a/\nservices = pay",
+            "duplicate-route",
+            "",
+        ),
+        (
+            "services = pay",
+            "services = pay\nattempts = 0",
+            "range",
+            "attempts",
+        ),
+    ];
+    Config::parse("test.ini", ROUTED).expect("no findings");
+    for (part, replacement, rule, key) in cases {
+        let found = findings(&ROUTED.replace(part, replacement));
+        let found: Vec<_> = found.iter().map(|it| (it.rule, &*it.key)).collect();
+        assert_eq!(found, [(rule, key)], "{replacement}");
+    }
+}
--- a/crates/basilbay_model/tests/examples.rs
+++ b/crates/basilbay_model/tests/examples.rs
@@ -39,3 +39,17 @@
     let fit = caroni.service("fitfinder").unwrap().kind("GET", "/fit");
     assert!(fit.unwrap().idempotent);
 }
+
+/// Guards against an example of routes that the checker rejects, or that prints as something else.
+#[test]
+fn routes_parse() {
+    let text = include_str!("../../../examples/routes.ini");
+    let config = Config::parse("routes.ini", text).unwrap();
+    let route = config.route("parts.example", "/fit/22").unwrap();
+    assert_eq!(&*route.choose(0).unwrap().clone(), "fitfinder");
+    assert_eq!(&*route.choose(u64::MAX).unwrap().clone(), "fitfinder-next");
+    assert_eq!(
+        Config::parse("printed", &config.to_string()).unwrap(),
+        config
+    );
+}
