Serve what must start soonest first, and notice dead links sooner

Cause: the usual service time is one of all kinds, so calls of running work, with 150 ms of goal on targets that usually take 200 ms, never counted as meeting their goal and waited behind all others. Change: the latest start that meets a goal takes at most half of the goal as work; a calm queue serves first who must start soonest.

--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -533,10 +533,7 @@
                     return;
                 }
             }
-            let Some(ticket) = self
-                .queue
-                .pop(self.suspect_runs, self.profile.recent(), now)
-            else {
+            let Some(ticket) = self.queue.pop(self.suspect_runs, now) else {
                 return;
             };
             self.start(ticket, now);
--- a/crates/basilbay_admission/src/queue.rs
+++ b/crates/basilbay_admission/src/queue.rs
@@ -1,11 +1,12 @@
 //! Requests that wait for a slot.
 //!
 //! Requests that can still meet their goal go before those that cannot, whose answer is of less use
-//! whenever it comes. A calm queue is otherwise served in the order of arrival. One that has not been empty for as long as a
+//! whenever it comes. Of those, a calm queue serves first the one that must start soonest. One that has not been empty for as long as a
 //! request should wait is overloaded: then the heaviest kind comes first and of each kind the
 //! newest, which has the most time left, and requests that waited too long are refused while
 //! their caller can still try another target.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use basilbay_wire::problem::Cause;
@@ -24,6 +25,8 @@
     ticket: Ticket,
     /// When it has waited too long, if the queue is overloaded then.
     stale_at: Instant,
+    /// When it must start at the latest to meet its goal.
+    late_at: Instant,
 }
 
 /// Waiting requests, in the order of arrival.
@@ -82,21 +85,31 @@
             .max(MIN_WAIT_LIMIT);
         let stale_at = now.checked_add(wait_limit).unwrap_or(ticket.deadline);
         self.overload_at.get_or_insert(stale_at);
-        self.waiting.push(Waiting { ticket, stale_at });
+        // The usual time is one of all kinds; a kind whose goal is shorter takes less.
+        let goal = ticket.goal_at.saturating_duration_since(now);
+        let late_at = now + goal.saturating_sub(service.min(goal / 2));
+        self.waiting.push(Waiting {
+            ticket,
+            stale_at,
+            late_at,
+        });
     }
 
     /// Takes the request that is to run next, passing over suspects if asked to.
-    pub fn pop(&mut self, skip_suspects: bool, service: Duration, now: Instant) -> Option<Ticket> {
+    pub fn pop(&mut self, skip_suspects: bool, now: Instant) -> Option<Ticket> {
         let is_overloaded = self.is_overloaded(now);
         let candidates = self.waiting.iter().enumerate();
         let index = candidates
             .filter(|(_, waiting)| !(skip_suspects && waiting.ticket.suspect))
             .max_by_key(|(index, waiting)| {
-                let meets_goal = now + service <= waiting.ticket.goal_at;
-                // Of equals the last one is taken: the newest under overload, else the oldest.
+                let meets_goal = now <= waiting.late_at;
+                // Of equals the newest is taken under overload, else the oldest.
                 match is_overloaded {
-                    true => (meets_goal, waiting.ticket.weight, *index),
-                    false => (meets_goal, 0, usize::MAX - index),
+                    true => (meets_goal, waiting.ticket.weight, None, *index),
+                    false => {
+                        let soonest = Some(Reverse(waiting.late_at));
+                        (meets_goal, 0, soonest, usize::MAX - index)
+                    }
                 }
             })?
             .0;
--- /dev/null
+++ b/crates/basilbay_admission/tests/goal.rs
@@ -0,0 +1,63 @@
+//! Who goes first when a slot is freed: the load is a short burst on one slot.
+
+#[path = "support/request.rs"]
+mod request;
+
+use std::time::{Duration, Instant};
+
+use basilbay_admission::gate::{Action, Completion, Decision, Gate, Start};
+use basilbay_admission::request::Ticket;
+use request::{actions, contract, ticket};
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// A gate with one slot in use whose target takes 200 ms.
+fn busy(now: Instant) -> Gate {
+    let before = now - millis(200);
+    let mut gate = Gate::new(&contract(1, 10, 1, 0), Start::Fresh, before);
+    gate.offer(ticket(1, 1, 9000, before), before);
+    gate.complete(1, Completion::Answered, now);
+    assert_eq!(gate.offer(ticket(2, 1, 9000, now), now), Decision::Run);
+    gate
+}
+
+fn with_goal(id: u64, goal_ms: u64, now: Instant) -> Ticket {
+    Ticket {
+        goal_at: now + millis(goal_ms),
+        ..ticket(id, 1, 2000, now)
+    }
+}
+
+fn next(gate: &mut Gate, running: u64, now: Instant) -> u64 {
+    gate.complete(running, Completion::Answered, now);
+    match actions(gate).as_slice() {
+        [Action::Start(id)] => *id,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a request whose goal has passed that goes before one which can still meet its own.
+#[test]
+fn lost_goals_last() {
+    let now = Instant::now();
+    let mut gate = busy(now);
+    assert_eq!(gate.offer(with_goal(3, 50, now), now), Decision::Wait);
+    let later = now + millis(60);
+    assert_eq!(gate.offer(with_goal(4, 600, later), later), Decision::Wait);
+    assert_eq!(next(&mut gate, 2, later), 4);
+    assert_eq!(next(&mut gate, 4, later), 3);
+}
+
+/// Guards against short calls of running work that wait behind long requests with more time, and
+/// so fail the work that made them.
+#[test]
+fn short_goals_first() {
+    let now = Instant::now();
+    let mut gate = busy(now);
+    assert_eq!(gate.offer(with_goal(3, 800, now), now), Decision::Wait);
+    let later = now + millis(10);
+    assert_eq!(gate.offer(with_goal(4, 150, later), later), Decision::Wait);
+    assert_eq!(next(&mut gate, 2, later + millis(5)), 4);
+}
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -1,5 +1,6 @@
 //! Entry role: takes a caller's request, finds a target for it and answers.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -28,10 +29,14 @@
 use crate::trace::Context;
 
 /// Serves a request of a caller.
-pub async fn serve(daemon: &Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
+pub async fn serve(
+    daemon: &Arc<Daemon>,
+    request: Request<Incoming>,
+    caller: IpAddr,
+) -> Response<Body> {
     let received_at = Instant::now();
     let stated = request.headers().get(&daemon.dialect.request_id).cloned();
-    let reply = match receive(daemon, request).await {
+    let reply = match receive(daemon, request, caller).await {
         Ok((errand, body)) => {
             let span = errand.span("entry", &daemon.settings.id);
             dispatch(daemon, errand, body).instrument(span).await
@@ -63,6 +68,7 @@
 async fn receive(
     daemon: &Arc<Daemon>,
     request: Request<Incoming>,
+    caller: IpAddr,
 ) -> Result<(Errand, Received), Problem> {
     let now = Instant::now();
     let (parts, incoming) = request.into_parts();
@@ -81,6 +87,7 @@
     check_body(&parts.headers, view.config.limits.body_bytes)?;
     let trace = Context::from_headers(&parts.headers, daemon.draw()).child(daemon.draw());
     let mut errand = Errand::new(parts, intake, trace, now);
+    errand.caller = Some(caller);
     let headers = &mut errand.headers;
     headers.remove(&daemon.dialect.expected_run);
     let caller = &daemon.settings.service;
--- a/crates/basilbay_daemon/src/errand.rs
+++ b/crates/basilbay_daemon/src/errand.rs
@@ -1,5 +1,6 @@
 //! A request on its way through the daemon.
 
+use std::net::IpAddr;
 use std::time::Instant;
 
 use http::header::HOST;
@@ -51,6 +52,8 @@
     pub trace: Context,
     /// Hash that tells requests apart which crash their target.
     pub fingerprint: u64,
+    /// Where the request came from; `None` behind another daemon.
+    pub caller: Option<IpAddr>,
 }
 
 impl Errand {
@@ -70,6 +73,7 @@
             headers: parts.headers,
             trace,
             fingerprint: 0,
+            caller: None,
         }
     }
 
--- a/crates/basilbay_daemon/src/front.rs
+++ b/crates/basilbay_daemon/src/front.rs
@@ -8,6 +8,7 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -66,6 +67,8 @@
 /// One connection.
 struct Connection {
     daemon: Arc<Daemon>,
+    /// Address of the caller.
+    caller: IpAddr,
     buffer: BytesMut,
     served: VecDeque<Served>,
     coming: Option<Coming>,
@@ -78,10 +81,11 @@
 }
 
 /// Serves a connection until one side ends it.
-pub async fn serve(daemon: Arc<Daemon>, stream: TcpStream) {
+pub async fn serve(daemon: Arc<Daemon>, stream: TcpStream, caller: IpAddr) {
     let (mut reader, mut writer) = stream.into_split();
     let mut connection = Connection {
         daemon: daemon.clone(),
+        caller,
         buffer: BytesMut::new(),
         served: VecDeque::new(),
         coming: None,
@@ -252,11 +256,12 @@
         let daemon = self.daemon.clone();
         let number = self.started.fetch_add(1, Ordering::AcqRel) + 1;
         let started = self.started.clone();
+        let caller = self.caller;
         let service = service_fn(move |request: Request<Incoming>| {
             let daemon = daemon.clone();
             let started = started.clone();
             async move {
-                let mut response = entry::serve(&daemon, request).await;
+                let mut response = entry::serve(&daemon, request, caller).await;
                 // Only behind the last request that was taken: the answers to others still follow.
                 if daemon.stop.is_cancelled() && started.load(Ordering::Acquire) == number {
                     let close = HeaderValue::from_static("close");
--- a/crates/basilbay_daemon/src/link.rs
+++ b/crates/basilbay_daemon/src/link.rs
@@ -20,10 +20,12 @@
 pub type Result<T> = anyhow::Result<T>;
 
 /// Time after which a daemon that does not accept a connection counts as unreachable.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Interval of pings while requests are on a link, and the wait for their answer.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of pings while requests are on a link, and the wait for their answer. A daemon that is
+/// gone without a word is noticed within two of them; one that is starved of processor time answers
+/// within one.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Bytes in flight on a stream; answers are small, and a slow reader holds no more than this.
 const STREAM_WINDOW: u32 = 256 * 1024;
--- a/crates/basilbay_daemon/src/record.rs
+++ b/crates/basilbay_daemon/src/record.rs
@@ -100,6 +100,7 @@
                 request = id_of(daemon, errand),
                 service = %errand.intake.service,
                 kind = %errand.intake.kind,
+                caller = ?errand.caller,
                 status = response.status().as_u16(),
                 took_ms,
                 left_ms,
--- a/crates/basilbay_daemon/src/server.rs
+++ b/crates/basilbay_daemon/src/server.rs
@@ -1,6 +1,7 @@
 //! Accepts connections of callers and of other daemons.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -55,7 +56,7 @@
             () = daemon.stop.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(&daemon, stream, side, &graceful),
+            Ok((stream, from)) => serve(&daemon, stream, side, from.ip(), &graceful),
             Err(error) => {
                 tracing::warn!(%error, ?side, "accept failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -66,7 +67,13 @@
     graceful.shutdown().await;
 }
 
-fn serve(daemon: &Arc<Daemon>, stream: TcpStream, side: Side, graceful: &GracefulShutdown) {
+fn serve(
+    daemon: &Arc<Daemon>,
+    stream: TcpStream,
+    side: Side,
+    from: IpAddr,
+    graceful: &GracefulShutdown,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -87,19 +94,20 @@
         let watcher = graceful.watcher();
         tokio::spawn(async move {
             if begins_as_http2(&stream).await {
-                let service = service_fn(move |request| handle(daemon.clone(), side, request));
+                let service =
+                    service_fn(move |request| handle(daemon.clone(), side, from, request));
                 let connection = builder.serve_connection(TokioIo::new(stream), service);
                 if let Err(error) = watcher.watch(connection.into_owned()).await {
                     tracing::debug!(error, "connection ended");
                 }
                 return;
             }
-            front::serve(daemon, stream).await;
+            front::serve(daemon, stream, from).await;
             drop(watcher);
         });
         return;
     }
-    let service = service_fn(move |request| handle(daemon.clone(), side, request));
+    let service = service_fn(move |request| handle(daemon.clone(), side, from, request));
     let connection = builder
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
@@ -132,10 +140,11 @@
 async fn handle(
     daemon: Arc<Daemon>,
     side: Side,
+    from: IpAddr,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let response = match side {
-        Side::Callers => entry::serve(&daemon, request).await,
+        Side::Callers => entry::serve(&daemon, request, from).await,
         Side::Peers => hop::serve(&daemon, request).await,
     };
     Ok(response)
