Hand work to a target for as long as callers of its stopping daemon come

Cause: in a rolling restart each target stood idle from the signal until its new daemon ran, more than 4 s. Tests for it, for what targets say of their answers, for statuses and for the shared retry slack.

--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -151,6 +151,7 @@
     pub stop: CancellationToken,
     own: ArcSwap<Own>,
     is_stopping: AtomicBool,
+    is_leaving: AtomicBool,
     publisher: Mutex<Publisher>,
     view: ArcSwap<View>,
     /// Sorted by service.
@@ -207,6 +208,7 @@
             stop: CancellationToken::new(),
             own: ArcSwap::from_pointee(Own::default()),
             is_stopping: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
             publisher: Mutex::new(Publisher::new(now)),
             view: ArcSwap::from_pointee(View::empty()),
             shards: ArcSwap::from_pointee(Vec::new()),
@@ -340,7 +342,8 @@
         let leaves = listed.is_some_and(|instance| instance.state == Listed::Leaving);
         // Where runs have names, one that the list does not name has left, or is not there yet.
         let names_runs = view.roster.names_runs();
-        let is_closed = leaves || (names_runs && listed.is_none()) || self.is_stopping();
+        let is_closed =
+            leaves || (names_runs && listed.is_none()) || self.is_leaving.load(Ordering::Acquire);
         if is_closed || names_runs {
             self.admission.set_state(Closed::Leaving, is_closed);
         }
@@ -377,6 +380,12 @@
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// Closes the own target for good.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+        self.admission.set_state(Closed::Leaving, true);
+    }
+
     /// Whether the daemon was asked to stop.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Acquire)
--- a/crates/basilbay_daemon/src/settings.rs
+++ b/crates/basilbay_daemon/src/settings.rs
@@ -76,6 +76,8 @@
     pub readers: usize,
     /// Whether new work is taken while neither a peer nor the platform is heard.
     pub serves_alone: bool,
+    /// Time for which the own target still takes work after the daemon was asked to stop.
+    pub serve_out: Duration,
     /// Time for which the ports stay open after the daemon was asked to stop.
     pub linger: Duration,
     /// Time after which requests that run are given up at a stop, the linger included.
@@ -107,6 +109,7 @@
             ("output", self.log_output == other.log_output),
             ("statsd", self.statsd == other.statsd),
             ("address", self.metrics == other.metrics),
+            ("serve_out_ms", self.serve_out == other.serve_out),
             ("linger_ms", self.linger == other.linger),
             ("patience_ms", self.patience == other.patience),
             ("threads", self.threads == other.threads),
@@ -202,6 +205,7 @@
     }
     let seed = reader.value("seed", seed_of(&id));
     let serves_alone = reader.answer("serves_alone", false);
+    let serve_out = reader.millis("serve_out_ms", Duration::ZERO);
     let linger = reader.millis("linger_ms", LINGER);
     let patience = reader.millis("patience_ms", PATIENCE);
     reader.finish();
@@ -227,6 +231,7 @@
         start_spread,
         readers,
         serves_alone,
+        serve_out,
         linger,
         patience,
         threads,
--- a/crates/basilbay_daemon/src/stop.rs
+++ b/crates/basilbay_daemon/src/stop.rs
@@ -5,7 +5,6 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
-use basilbay_admission::gate::Closed;
 use basilbay_events::catalogue;
 use basilbay_events::emit;
 
@@ -33,15 +32,17 @@
 /// Says that the target leaves, lets running requests finish and stops the ports.
 pub async fn gracefully(daemon: &Arc<Daemon>) {
     emit!(catalogue::STOPPING, instance = %daemon.settings.id);
-    let patience = Instant::now() + daemon.settings.patience;
+    let asked_at = Instant::now();
+    let patience = asked_at + daemon.settings.patience;
     daemon.note_stopping();
-    daemon.admission.set_state(Closed::Leaving, true);
+    tokio::time::sleep(daemon.settings.serve_out).await;
+    daemon.leave();
     daemon.control.node().leaving(Instant::now());
     control::settle(daemon);
     daemon.announce();
     // Requests that were sent before the word of leaving arrived get a refusal, which is retried
     // elsewhere, and not a closed port.
-    tokio::time::sleep(daemon.settings.linger).await;
+    tokio::time::sleep_until((asked_at + daemon.settings.linger).into()).await;
     while !daemon.admission.is_idle() && Instant::now() < patience {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
--- a/crates/basilbay_daemon/tests/common/fleet.rs
+++ b/crates/basilbay_daemon/tests/common/fleet.rs
@@ -62,6 +62,8 @@
     pub(crate) proxied: bool,
     /// Routing policy of all services.
     pub(crate) policy: &'static str,
+    /// Further lines of the daemons' settings.
+    pub(crate) settings: &'static str,
 }
 
 impl Plan {
@@ -76,6 +78,7 @@
             other_target: None,
             proxied: false,
             policy: "basilbay",
+            settings: "",
         }
     }
 
@@ -264,8 +267,9 @@
             "[instance]\nid = {id}\nservice = {service}\ndomain = north\nregion = west\ntarget = {}\n\
              [listen]\ncallers = {callers}\npeers = {peers}\nadmin = {admin}\n\
              [platform]\nconfig = {platform}\ninstances = {platform}\n\
-             [log]\nformat = json\nspans = yes\n",
+             [log]\nformat = json\nspans = yes\n{}",
             self.at(port, index),
+            self.plan.settings,
         );
         let settings = self.folder.join(format!("{id}.ini"));
         fs::write(&settings, text).expect("settings");
--- a/crates/basilbay_daemon/tests/stop.rs
+++ b/crates/basilbay_daemon/tests/stop.rs
@@ -178,3 +178,24 @@
     let output = basilbayd(&file, false);
     assert_eq!(output.status.code(), Some(1), "{output:?}");
 }
+
+/// Guards against a target that stands idle for the whole stop of its daemon, though it runs on and
+/// callers still come.
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_out() {
+    let plan = Plan {
+        settings: "[run]\nserve_out_ms = 1000\nlinger_ms = 1500\n",
+        ..Plan::new(&[("desk", 1), ("shop", 1)])
+    };
+    let mut fleet = Fleet::start(plan).await;
+    fleet.signal("desk-1", Signal::TERM);
+    while !fleet.log("desk-1").contains("\"event\":101") {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let reply = Call::read()
+        .id("meanwhile")
+        .reply(fleet.entry("shop-1"))
+        .await;
+    reply.is_answer("meanwhile", 0);
+    assert_eq!(fleet.ended("desk-1").await.code(), Some(0));
+}
--- /dev/null
+++ b/crates/basilbay_daemon/tests/words.rs
@@ -0,0 +1,120 @@
+//! What targets say about their answers: which request they belong to, and whether it ran.
+
+#[allow(dead_code)]
+#[path = "common/call.rs"]
+mod call;
+#[allow(dead_code)]
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use basilbay_wire::problem::{Cause, Outcome};
+use call::Call;
+use fleet::{Fleet, Plan};
+
+/// A target that answers as the path asks, and counts the requests that it got.
+async fn target() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let count = Arc::new(AtomicUsize::new(0));
+    let counter = count.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(converse(stream, counter.clone()));
+        }
+    });
+    (address, count)
+}
+
+async fn converse(mut stream: TcpStream, count: Arc<AtomicUsize>) -> std::io::Result<()> {
+    let mut bytes = Vec::new();
+    while stream.read_buf(&mut bytes).await? > 0 {
+        if !bytes.windows(4).any(|part| part == b"\r\n\r\n") {
+            continue;
+        }
+        let request = String::from_utf8_lossy(&bytes).into_owned();
+        bytes.clear();
+        count.fetch_add(1, Ordering::SeqCst);
+        let caller = request
+            .lines()
+            .find_map(|line| line.strip_prefix("basilbay-caller-service: "))
+            .unwrap_or("nobody");
+        let answer = if request.contains("/other") {
+            "200 OK\r\nbasilbay-request-id: not-this-one\r\ncontent-length: 5\r\n\r\nother"
+                .to_owned()
+        } else if request.contains("/busy") {
+            "503 Busy\r\nbasilbay-not-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
+        } else if request.contains("/moved") {
+            "421 Moved\r\nbasilbay-target-run: new\r\ncontent-length: 0\r\n\r\n".to_owned()
+        } else {
+            let length = caller.len();
+            format!("200 OK\r\ncontent-length: {length}\r\n\r\n{caller}")
+        };
+        stream
+            .write_all(format!("HTTP/1.1 {answer}").as_bytes())
+            .await?;
+    }
+    Ok(())
+}
+
+async fn fleet() -> (Fleet, Arc<AtomicUsize>) {
+    let (address, count) = target().await;
+    let plan = Plan {
+        other_target: Some((0, address)),
+        ..Plan::new(&[("desk", 1), ("shop", 1)])
+    };
+    (Fleet::start(plan).await, count)
+}
+
+fn read(path: &str) -> Call {
+    Call::new(http::Method::GET, path).header("basilbay-request-id", "mine")
+}
+
+/// Guards against a late second answer of a target that is taken for the answer to this request.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_answer() {
+    let (fleet, _) = fleet().await;
+    let reply = read("/read/other").reply(fleet.entry("shop-1")).await;
+    reply.is_problem(Cause::TargetFailed, Outcome::Unknown);
+}
+
+/// Guards against "unknown" for a request that the target says it did not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run() {
+    let (fleet, _) = fleet().await;
+    for (path, cause) in [
+        ("/read/busy", Cause::TargetBusy),
+        ("/read/moved", Cause::Leaving),
+    ] {
+        let reply = read(path).reply(fleet.entry("shop-1")).await;
+        reply.is_problem(cause, Outcome::NotRun);
+    }
+}
+
+/// Guards against a caller that names itself: targets trust what basilbay says of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_named() {
+    let (fleet, _) = fleet().await;
+    let call = read("/read/caller").header("basilbay-caller-service", "forged");
+    let reply = call.reply(fleet.entry("shop-1")).await;
+    assert_eq!(reply.body, "shop".as_bytes());
+}
+
+/// Guards against retries that burden a target without end after it turned a request away.
+#[tokio::test(flavor = "multi_thread")]
+async fn busy_bounded() {
+    let (fleet, count) = fleet().await;
+    let before = count.load(Ordering::SeqCst);
+    for _ in 0..20 {
+        read("/read/busy").reply(fleet.entry("shop-1")).await;
+    }
+    let arrivals = count.load(Ordering::SeqCst) - before;
+    // 20 first arrivals, the budget of 100 percent, and its floor of 3 a second.
+    assert!(arrivals <= 20 * 2 + 20, "{arrivals}");
+}
--- a/crates/basilbay_routing/src/board.rs
+++ b/crates/basilbay_routing/src/board.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use basilbay_model::id::{DomainId, InstanceId};
+use basilbay_model::service::Contract;
 use basilbay_wire::load::{Load, State};
 
 use crate::straggler::Ejection;
@@ -161,7 +162,7 @@
 }
 
 /// The targets of one service, sorted by instance id.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Board {
     /// The targets.
     pub targets: Vec<Target>,
@@ -188,6 +189,18 @@
     pub most_ejected: usize,
 }
 
+impl Default for Board {
+    /// An empty board with what a contract says by default.
+    fn default() -> Self {
+        Self {
+            targets: Vec::new(),
+            slots: 0,
+            remote_seconds: Contract::default().remote_cost.as_secs_f64(),
+            summary: Summary::default(),
+        }
+    }
+}
+
 impl Board {
     /// Finds a target by its instance.
     pub fn position(&self, id: &str) -> Option<usize> {
--- a/crates/basilbay_routing/tests/retry.rs
+++ b/crates/basilbay_routing/tests/retry.rs
@@ -81,6 +81,40 @@
         prop_assert!(f64::from(retries) <= bound, "{retries} > {bound}");
     }
 
+    /// Guards against daemons that each keep within their budget and exceed it together: in any
+    /// window, and with each daemon restarted once in the middle of it.
+    #[test]
+    fn slack_is_shared(
+        daemons in 2_usize..20,
+        slack in 40_u32..200,
+        gap_ms in 1_u64..200,
+        restart_at in 0_u64..10_000,
+    ) {
+        let start = Instant::now();
+        let window = Duration::from_secs(10);
+        let mut retries = 0_u32;
+        for _ in 0..daemons {
+            let fresh = |now| {
+                let mut budget = Budget::new(0, now);
+                budget.set_slack(slack, window, daemons);
+                budget
+            };
+            let mut budget = fresh(start);
+            let mut at = 0;
+            while at < 10_000 {
+                let now = start + Duration::from_millis(at);
+                if at <= restart_at && restart_at < at + gap_ms {
+                    budget = fresh(now);
+                }
+                retries += u32::from(budget.withdraw(now));
+                at += gap_ms;
+            }
+        }
+        // Half of the slack saved up, half gained, and what a restart saves up anew.
+        let bound = f64::from(slack) * 1.5 + 2.0 * daemons as f64;
+        prop_assert!(f64::from(retries) <= bound, "{retries} > {bound}");
+    }
+
     /// Guards against "not run" for a request that an earlier attempt may have run: the target
     /// answered 504 at the deadline, a second target refused, and the caller was told "not run".
     #[test]
