End a stop though a caller holds a silent connection, and leave slow targets sooner

Change: such connections are closed with the stop, the wait for others is bounded; a straggler is one at three times the siblings' time, and a reported time keeps its weight for eight service times.

--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -1,7 +1,7 @@
 //! The composition of a daemon: all its state and the tasks that drive it.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
 use arc_swap::ArcSwap;
@@ -152,6 +152,8 @@
     own: ArcSwap<Own>,
     is_stopping: AtomicBool,
     is_leaving: AtomicBool,
+    /// When running requests are given up, once the daemon was asked to stop.
+    given_up_at: OnceLock<Instant>,
     publisher: Mutex<Publisher>,
     view: ArcSwap<View>,
     /// Sorted by service.
@@ -209,6 +211,7 @@
             own: ArcSwap::from_pointee(Own::default()),
             is_stopping: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
+            given_up_at: OnceLock::new(),
             publisher: Mutex::new(Publisher::new(now)),
             view: ArcSwap::from_pointee(View::empty()),
             shards: ArcSwap::from_pointee(Vec::new()),
@@ -375,11 +378,18 @@
         self.own.load_full()
     }
 
-    /// Notes that the daemon was asked to stop.
-    pub fn note_stopping(&self) {
+    /// Notes that the daemon was asked to stop, and when it gives up running requests.
+    pub fn note_stopping(&self, given_up_at: Instant) {
+        self.given_up_at.get_or_init(|| given_up_at);
         self.is_stopping.store(true, Ordering::Release);
     }
 
+    /// When running requests are given up.
+    pub fn given_up_at(&self) -> Instant {
+        let patience = self.settings.patience;
+        *self.given_up_at.get_or_init(|| Instant::now() + patience)
+    }
+
     /// Closes the own target for good.
     pub fn leave(&self) {
         self.is_leaving.store(true, Ordering::Release);
--- a/crates/basilbay_daemon/src/server.rs
+++ b/crates/basilbay_daemon/src/server.rs
@@ -64,7 +64,16 @@
         }
     }
     drop(listener);
-    graceful.shutdown().await;
+    let until = daemon.given_up_at();
+    if tokio::time::timeout_at(until.into(), graceful.shutdown())
+        .await
+        .is_err()
+    {
+        tracing::warn!(
+            ?side,
+            "connections were still open when the time to stop was over"
+        );
+    }
 }
 
 fn serve(
@@ -93,7 +102,12 @@
     if side == Side::Callers {
         let watcher = graceful.watcher();
         tokio::spawn(async move {
-            if begins_as_http2(&stream).await {
+            let is_http2 = tokio::select! {
+                is_http2 = begins_as_http2(&stream) => is_http2,
+                // Nothing was asked for yet.
+                () = daemon.stop.cancelled() => return,
+            };
+            if is_http2 {
                 let service =
                     service_fn(move |request| handle(daemon.clone(), side, from, request));
                 let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/crates/basilbay_daemon/tests/stop.rs
+++ b/crates/basilbay_daemon/tests/stop.rs
@@ -199,3 +199,28 @@
     reply.is_answer("meanwhile", 0);
     assert_eq!(fleet.ended("desk-1").await.code(), Some(0));
 }
+
+/// Guards against a daemon that never ends since a caller holds a connection on which it asked for
+/// nothing: on the users' platform it was killed after six seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections() {
+    let mut fleet = Fleet::start(Plan::new(&[("desk", 1), ("shop", 1)])).await;
+    let silent = TcpStream::connect(fleet.entry("shop-1"))
+        .await
+        .expect("it accepts");
+    let mut half = TcpStream::connect(fleet.entry("shop-1"))
+        .await
+        .expect("it accepts");
+    half.write_all(b"PRI").await.expect("it is sent");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let asked_at = std::time::Instant::now();
+    fleet.signal("shop-1", Signal::TERM);
+    let ended = tokio::time::timeout(Duration::from_secs(4), fleet.ended("shop-1")).await;
+    assert_eq!(
+        ended.expect("it ends").code(),
+        Some(0),
+        "{:?}",
+        asked_at.elapsed()
+    );
+    drop((silent, half));
+}
--- a/crates/basilbay_routing/src/board.rs
+++ b/crates/basilbay_routing/src/board.rs
@@ -16,10 +16,13 @@
 /// within one service time, so the age follows the service time between them.
 const HALF_LIFE: (f64, f64) = (0.005, 0.1);
 
-/// Age at which a service time has lost half of its weight, in seconds. It is a mean over several
-/// requests and changes more slowly than what runs.
+/// Shortest age at which a service time has lost half of its weight, in seconds. It is a mean over
+/// several requests and changes more slowly than what runs.
 const SLOWNESS_HALF_LIFE: f64 = 0.25;
 
+/// The same in usual service times: a target that is avoided gets no requests that would renew it.
+const SLOWNESS_SERVICES: f64 = 8.0;
+
 /// Weight of a new service time in the moving average.
 const LATENCY_GAIN: f64 = 0.2;
 
@@ -135,7 +138,8 @@
 
     /// Recent service time as a multiple of the usual one, as far as it is still believed.
     pub fn slowness(&self, summary: &Summary, now: Instant) -> f64 {
-        let confidence = self.confidence(SLOWNESS_HALF_LIFE, now);
+        let half_life = SLOWNESS_HALF_LIFE.max(SLOWNESS_SERVICES * summary.usual_latency());
+        let confidence = self.confidence(half_life, now);
         let reported = f64::from(self.load.latency_us) / 1e6 / summary.usual_latency();
         confidence * reported + (1.0 - confidence)
     }
--- a/crates/basilbay_routing/src/straggler.rs
+++ b/crates/basilbay_routing/src/straggler.rs
@@ -8,8 +8,10 @@
 
 use crate::board::{Board, Target};
 
-/// Service time over the siblings' median that makes a straggler.
-const FACTOR: f64 = 4.0;
+/// Service time over the siblings' median that makes a straggler. A target that takes four to five
+/// times as long must be clearly above it; three in 1,000 undisturbed requests are, which costs one
+/// short ejection each.
+const FACTOR: f64 = 3.0;
 
 /// Shortest silence that counts; below it, timers and scheduling blur the comparison.
 const SILENCE_MIN: Duration = Duration::from_millis(20);
