Tell two slow spells with nothing known between them from a long one

Change: a spell goes on only while looks follow each other within 75 ms. Test spell::apart fails without it.

--- a/crates/basilbay_admission/src/spell.rs
+++ b/crates/basilbay_admission/src/spell.rs
@@ -24,6 +24,10 @@
 /// Time after which a slow target is not slowed for a spell but slow: three spells of 150 ms.
 const LONGEST: Duration = Duration::from_millis(450);
 
+/// Time between two slow looks up to which they show the same spell; after half of a spell without a
+/// look it may be another one.
+const FOLLOWED: Duration = Duration::from_millis(75);
+
 /// What the target's machine is like.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Moment {
@@ -57,9 +61,12 @@
 
     /// Takes a look: the time that work takes, in percent of the usual.
     pub fn note(&mut self, percent: u32, now: Instant) {
+        let is_followed = self
+            .seen_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= FOLLOWED);
         self.is_slow = self.threshold > 0 && percent >= self.threshold;
         self.slow_since = match self.is_slow {
-            true => self.slow_since.or(Some(now)),
+            true => self.slow_since.filter(|_| is_followed).or(Some(now)),
             false => None,
         };
         self.seen_at = Some(now);
--- a/crates/basilbay_admission/tests/spell.rs
+++ b/crates/basilbay_admission/tests/spell.rs
@@ -168,3 +168,17 @@
     gate.looked(false, later);
     assert!(actions(&mut gate).contains(&Action::Start(1)));
 }
+
+/// Guards against two spells with nothing known between them that count as one long one: requests
+/// then started in the second, on targets with little work.
+#[test]
+fn apart() {
+    let start = Instant::now();
+    let mut gate = known_gate(start);
+    look(&mut gate, 500, start);
+    let now = start + millis(600);
+    assert_eq!(gate.offer(ticket(1, 1, 9000, now), now), Decision::Wait);
+    actions(&mut gate);
+    look(&mut gate, 500, now);
+    assert_eq!(actions(&mut gate), []);
+}
