--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -6,6 +6,7 @@
 //! interrupts a running request.
 
 mod closed;
+mod moment;
 
 use std::time::{Duration, Instant};
 
@@ -288,44 +289,6 @@
         self.reasons.contains(reason)
     }
 
-    /// Takes what the target says of its cold start: how much longer it lasts.
-    pub fn observe_cold(&mut self, left: Duration, now: Instant) {
-        self.pace.observe(left, now);
-        self.settle(now);
-    }
-
-    /// Takes a look at the target's speed: the time that work takes, in percent of the usual.
-    pub fn observe_pace(&mut self, percent: u32, now: Instant) {
-        self.spell.note(percent, now);
-        self.settle(now);
-    }
-
-    /// Takes the end of a look that [`Action::Look`] asked for; its figure came before, or none.
-    pub fn looked(&mut self, saw: bool, now: Instant) {
-        self.look_asked = false;
-        if !saw {
-            self.spell.note_blind(now);
-        }
-        self.settle(now);
-        // What waited for the look only goes to another target.
-        if self.look_asked {
-            return;
-        }
-        let cause = match self.spell.moment(now) {
-            Moment::Slowed | Moment::Slow => Cause::TargetSlowed,
-            Moment::Calm | Moment::Unknown => Cause::NoCapacity,
-        };
-        let actions = &mut self.actions;
-        self.queue
-            .drop_hasty(|id| actions.push(Action::Refuse(id, cause)));
-    }
-
-    /// Notes that another run of the target took the place of the one before.
-    pub fn replaced(&mut self, now: Instant) {
-        self.pace.cool(now);
-        self.ramp.returned(self.next_order);
-    }
-
     /// Holds a report of the target's load endpoint against the gate's own knowledge.
     pub fn observe_report(&mut self, report: Report, now: Instant) {
         let own_limit = self.limit.allowed().min(self.ramp.allowed());
@@ -388,15 +351,6 @@
         self.running.is_empty() && self.queue.is_empty()
     }
 
-    /// A contract that states a rate for the first time finds a target of which nothing is known.
-    fn set_pace(&mut self, contract: &Contract, now: Instant) {
-        if self.pace.is_set() || contract.cold_rate == 0 {
-            self.pace.set_contract(contract);
-            return;
-        }
-        self.pace = Pace::new(contract, self.found_running, now);
-    }
-
     fn running_index(&self, id: RequestId) -> Result<usize, usize> {
         self.running.binary_search_by_key(&id, |running| running.id)
     }
@@ -516,13 +470,6 @@
         });
     }
 
-    fn ask_look(&mut self) {
-        if !self.look_asked {
-            self.look_asked = true;
-            self.actions.push(Action::Look);
-        }
-    }
-
     fn start_waiting(&mut self, now: Instant) {
         while !self.queue.is_empty() && self.has_room(now) {
             match self.spell.moment(now) {
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -11,14 +11,14 @@
 use basilbay_admission::gate::Closed;
 use basilbay_events::catalogue;
 use basilbay_events::emit;
+use basilbay_events::log::Dropped;
 use basilbay_events::metrics::{self, Metrics};
 use basilbay_keys::history::History;
 use basilbay_keys::key;
 use basilbay_membership::node::Identity;
 use basilbay_model::config::{Config, Limits};
-use basilbay_model::domain::State as Wanted;
-use basilbay_model::id::{InstanceId, ServiceId, TargetId};
-use basilbay_model::roster::{Instance, Roster, Stamp, State as Listed};
+use basilbay_model::id::{InstanceId, ServiceId};
+use basilbay_model::roster::{Roster, Stamp};
 use basilbay_model::service::Contract;
 use basilbay_routing::board::CallId;
 use basilbay_routing::push::Publisher;
@@ -33,6 +33,7 @@
 use crate::health::{self, Health};
 use crate::home::Registry;
 use crate::link::Links;
+use crate::own::Own;
 use crate::platform::{self, Connections, Platform};
 use crate::pool::Pool;
 use crate::record::Volumes;
@@ -107,15 +108,6 @@
     }
 }
 
-/// What the view says of the own target.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Own {
-    /// Name of its run; `None` while the list does not name one.
-    pub run: Option<TargetId>,
-    /// When that run started.
-    pub born_ms: Option<Stamp>,
-}
-
 /// A daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -145,15 +137,17 @@
     pub trust: Trust,
     /// Where metrics go.
     pub metrics: Metrics,
+    /// Lines that the log has dropped.
+    pub log_dropped: OnceLock<Dropped>,
     /// Bounds on the lines of requests in the log.
     pub volumes: Volumes,
     /// Cancelled when the daemon shall stop.
     pub stop: CancellationToken,
-    own: ArcSwap<Own>,
-    is_stopping: AtomicBool,
-    is_leaving: AtomicBool,
+    pub(crate) own: ArcSwap<Own>,
+    pub(crate) is_stopping: AtomicBool,
+    pub(crate) is_leaving: AtomicBool,
     /// When running requests are given up, once the daemon was asked to stop.
-    given_up_at: OnceLock<Instant>,
+    pub(crate) given_up_at: OnceLock<Instant>,
     publisher: Mutex<Publisher>,
     view: ArcSwap<View>,
     /// Sorted by service.
@@ -206,6 +200,7 @@
             control: Control::bind(identity, settings.seed, traffic).await?,
             trust: Trust::new(now),
             metrics: Metrics::new(settings.statsd, settings.metrics.is_some())?,
+            log_dropped: OnceLock::new(),
             volumes: Volumes::default(),
             stop: CancellationToken::new(),
             own: ArcSwap::from_pointee(Own::default()),
@@ -321,91 +316,6 @@
         }
     }
 
-    /// Applies a view to the own target: its contract, and whether it takes work at all.
-    fn sync_target(&self, view: &View) {
-        let service = &self.settings.service;
-        // Another service at the own address means that the list is older than this machine.
-        let listed = view
-            .roster
-            .instance(&self.settings.id)
-            .filter(|instance| instance.service == *service);
-        self.note_own(listed);
-        let Some(service) = view.config.service(service) else {
-            self.admission.set_state(Closed::Out, true);
-            return;
-        };
-        let mut contract = service.contract.clone();
-        if let Some(slots) = listed.and_then(|instance| instance.slots) {
-            contract.slots = slots;
-        }
-        self.pool.set_most(contract.connections as usize);
-        self.admission.set_contract(&contract);
-        let is_in = service.state == Wanted::In && view.config.domain_is_in(&self.settings.domain);
-        self.admission.set_state(Closed::Out, !is_in);
-        let leaves = listed.is_some_and(|instance| instance.state == Listed::Leaving);
-        // Where runs have names, one that the list does not name has left, or is not there yet.
-        let names_runs = view.roster.names_runs();
-        let is_closed =
-            leaves || (names_runs && listed.is_none()) || self.is_leaving.load(Ordering::Acquire);
-        if is_closed || names_runs {
-            self.admission.set_state(Closed::Leaving, is_closed);
-        }
-        self.announce();
-    }
-
-    /// Takes what the list says of the own target; one that is not listed keeps what it had.
-    fn note_own(&self, listed: Option<&Instance>) {
-        let Some(listed) = listed else {
-            return;
-        };
-        let before = self.own.load_full();
-        let own = Own {
-            run: listed.target.clone(),
-            born_ms: listed.born_ms,
-        };
-        if *before == own {
-            return;
-        }
-        if before.run.is_some() {
-            emit!(catalogue::TARGET_REPLACED, before = ?before.run, run = ?own.run);
-            self.admission.replaced();
-        }
-        self.own.store(Arc::new(own));
-    }
-
-    /// What the view says of the own target.
-    pub fn own(&self) -> Arc<Own> {
-        self.own.load_full()
-    }
-
-    /// Notes that the daemon was asked to stop, and when it gives up running requests.
-    pub fn note_stopping(&self, given_up_at: Instant) {
-        self.given_up_at.get_or_init(|| given_up_at);
-        self.is_stopping.store(true, Ordering::Release);
-    }
-
-    /// When running requests are given up.
-    pub fn given_up_at(&self) -> Instant {
-        let patience = self.settings.patience;
-        *self.given_up_at.get_or_init(|| Instant::now() + patience)
-    }
-
-    /// Closes the own target for good.
-    pub fn leave(&self) {
-        self.is_leaving.store(true, Ordering::Release);
-        self.admission.set_state(Closed::Leaving, true);
-    }
-
-    /// Whether the daemon was asked to stop.
-    pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Acquire)
-    }
-
-    /// Whether callers should send new work here.
-    pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.trust.holds(Instant::now())
-    }
-
     /// What is kept for a service.
     pub fn router(&self, service: &str) -> Option<Arc<Shard>> {
         let shards = self.shards.load();
@@ -554,6 +464,9 @@
         metrics.gauge(metrics::KEYS, daemon.registry.len() as u64);
         metrics.gauge(metrics::CONFIG_VERSION, daemon.view().config.version);
         metrics.gauge(metrics::ROSTER_AGE, age_ms);
+        if let Some(dropped) = daemon.log_dropped.get() {
+            metrics.gauge(metrics::LOG_DROPPED, dropped.count());
+        }
         metrics.count(metrics::RUNS_COMPLETED, counts.completed - before.completed);
         metrics.count(metrics::RUNS_REFUSED, counts.refused - before.refused);
         before = counts;
--- a/crates/basilbay_daemon/src/lib.rs
+++ b/crates/basilbay_daemon/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod hop;
 pub mod intake;
 pub mod link;
+pub mod own;
 pub mod platform;
 pub mod pool;
 pub mod program;
--- /dev/null
+++ b/crates/basilbay_daemon/src/own.rs
@@ -0,0 +1,110 @@
+//! The own target: what the view says of it, and how the daemon takes leave of it at a stop.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use basilbay_admission::gate::Closed;
+use basilbay_events::catalogue;
+use basilbay_events::emit;
+use basilbay_model::domain::State as Wanted;
+use basilbay_model::id::TargetId;
+use basilbay_model::roster::{Instance, Stamp, State as Listed};
+
+use crate::daemon::{Daemon, View};
+
+/// What the view says of the own target.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Own {
+    /// Name of its run; `None` while the list does not name one.
+    pub run: Option<TargetId>,
+    /// When that run started.
+    pub born_ms: Option<Stamp>,
+}
+
+impl Daemon {
+    /// Applies a view to the own target: its contract, and whether it takes work at all.
+    pub(crate) fn sync_target(&self, view: &View) {
+        let service = &self.settings.service;
+        // Another service at the own address means that the list is older than this machine.
+        let listed = view
+            .roster
+            .instance(&self.settings.id)
+            .filter(|instance| instance.service == *service);
+        self.note_own(listed);
+        let Some(service) = view.config.service(service) else {
+            self.admission.set_state(Closed::Out, true);
+            return;
+        };
+        let mut contract = service.contract.clone();
+        if let Some(slots) = listed.and_then(|instance| instance.slots) {
+            contract.slots = slots;
+        }
+        self.pool.set_most(contract.connections as usize);
+        self.admission.set_contract(&contract);
+        let is_in = service.state == Wanted::In && view.config.domain_is_in(&self.settings.domain);
+        self.admission.set_state(Closed::Out, !is_in);
+        let leaves = listed.is_some_and(|instance| instance.state == Listed::Leaving);
+        // Where runs have names, one that the list does not name has left, or is not there yet.
+        let names_runs = view.roster.names_runs();
+        let is_closed =
+            leaves || (names_runs && listed.is_none()) || self.is_leaving.load(Ordering::Acquire);
+        if is_closed || names_runs {
+            self.admission.set_state(Closed::Leaving, is_closed);
+        }
+        self.announce();
+    }
+
+    /// Takes what the list says of the own target; one that is not listed keeps what it had.
+    fn note_own(&self, listed: Option<&Instance>) {
+        let Some(listed) = listed else {
+            return;
+        };
+        let before = self.own.load_full();
+        let own = Own {
+            run: listed.target.clone(),
+            born_ms: listed.born_ms,
+        };
+        if *before == own {
+            return;
+        }
+        if before.run.is_some() {
+            emit!(catalogue::TARGET_REPLACED, before = ?before.run, run = ?own.run);
+            self.admission.replaced();
+        }
+        self.own.store(Arc::new(own));
+    }
+
+    /// What the view says of the own target.
+    pub fn own(&self) -> Arc<Own> {
+        self.own.load_full()
+    }
+
+    /// Notes that the daemon was asked to stop, and when it gives up running requests.
+    pub fn note_stopping(&self, given_up_at: Instant) {
+        self.given_up_at.get_or_init(|| given_up_at);
+        self.is_stopping.store(true, Ordering::Release);
+    }
+
+    /// When running requests are given up.
+    pub fn given_up_at(&self) -> Instant {
+        let patience = self.settings.patience;
+        *self.given_up_at.get_or_init(|| Instant::now() + patience)
+    }
+
+    /// Closes the own target for good.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+        self.admission.set_state(Closed::Leaving, true);
+    }
+
+    /// Whether the daemon was asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
+    /// Whether callers should send new work here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.trust.holds(Instant::now())
+    }
+}
--- a/crates/basilbay_daemon/src/program.rs
+++ b/crates/basilbay_daemon/src/program.rs
@@ -101,7 +101,7 @@
     making: Making,
     read: impl Fn() -> anyhow::Result<Settings> + Send + Sync + 'static,
 ) -> anyhow::Result<()> {
-    let _log = log::start(
+    let log = log::start(
         settings.log_format,
         settings.log_output,
         &settings.log_filter,
@@ -117,6 +117,7 @@
     let runtime = builder.enable_all().build()?;
     runtime.block_on(async {
         let daemon = making.await?;
+        daemon.log_dropped.get_or_init(|| log.dropped());
         tokio::spawn(reload::on_hangup(daemon.clone(), read));
         daemon.run().await
     })
--- a/crates/basilbay_events/src/log.rs
+++ b/crates/basilbay_events/src/log.rs
@@ -35,6 +35,18 @@
     Stdout,
 }
 
+/// Counts lines that did not fit into the buffer.
+#[derive(Clone, Debug, Default)]
+pub struct Dropped(Option<ErrorCounter>);
+
+impl Dropped {
+    /// Lines that were dropped so far.
+    pub fn count(&self) -> u64 {
+        let counter = self.0.as_ref();
+        counter.map_or(0, |counter| counter.dropped_lines() as u64)
+    }
+}
+
 /// A started log; lines that are not written yet are written when it is dropped.
 #[derive(Debug)]
 pub struct Log {
@@ -43,9 +55,9 @@
 }
 
 impl Log {
-    /// Counts lines that were dropped; `None` when none can be.
-    pub fn dropped(&self) -> Option<ErrorCounter> {
-        self.dropped.clone()
+    /// Counts lines that were dropped.
+    pub fn dropped(&self) -> Dropped {
+        Dropped(self.dropped.clone())
     }
 }
 
--- a/crates/basilbay_events/src/metrics.rs
+++ b/crates/basilbay_events/src/metrics.rs
@@ -81,6 +81,8 @@
         "Idempotency keys in memory.";
     CONFIG_VERSION Gauge "config.version"
         "Configuration version in force.";
+    LOG_DROPPED Gauge "log.dropped"
+        "Lines of the log that did not fit into its buffer since the start.";
     ROSTER_AGE Gauge "roster.age"
         "Age of the instance list in milliseconds.";
 }
