Let requests of a cold start not wait for the end of slow spells

Change: in a cold start the rate binds, and nothing waits for a calm moment; requests that may move still do. Test spell::cold_start.

--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -153,7 +153,7 @@
             return Decision::Refuse(Cause::BadRequest);
         }
         self.drop_expired_restriction(now);
-        let mut moment = self.spell.moment(now);
+        let mut moment = self.moment(now);
         if self.has_room(now) && !self.queue.is_empty() {
             self.settle(now);
         }
@@ -472,7 +472,7 @@
 
     fn start_waiting(&mut self, now: Instant) {
         while !self.queue.is_empty() && self.has_room(now) {
-            match self.spell.moment(now) {
+            match self.moment(now) {
                 Moment::Calm | Moment::Slow => {}
                 Moment::Slowed => return,
                 Moment::Unknown => {
--- a/crates/basilbay_admission/src/gate/moment.rs
+++ b/crates/basilbay_admission/src/gate/moment.rs
@@ -10,6 +10,15 @@
 use crate::spell::Moment;
 
 impl Gate {
+    /// What is known of this moment. In a cold start the rate binds, and a start that waits for the
+    /// end of a spell is lost: nothing waits for it then.
+    pub(super) fn moment(&self, now: Instant) -> Moment {
+        match self.spell.moment(now) {
+            Moment::Slowed if self.pace.is_cold() => Moment::Slow,
+            moment => moment,
+        }
+    }
+
     /// Takes what the target says of its cold start: how much longer it lasts.
     pub fn observe_cold(&mut self, left: Duration, now: Instant) {
         self.pace.observe(left, now);
@@ -33,7 +42,7 @@
         if self.look_asked {
             return;
         }
-        let cause = match self.spell.moment(now) {
+        let cause = match self.moment(now) {
             Moment::Slowed | Moment::Slow => Cause::TargetSlowed,
             Moment::Calm | Moment::Unknown => Cause::NoCapacity,
         };
--- a/crates/basilbay_admission/tests/spell.rs
+++ b/crates/basilbay_admission/tests/spell.rs
@@ -182,3 +182,24 @@
     look(&mut gate, 500, now);
     assert_eq!(actions(&mut gate), []);
 }
+
+/// Guards against a cold start whose few requests wait for the end of spells: after a power loss the
+/// seconds of the cold start served half as much.
+#[test]
+fn cold_start() {
+    let now = Instant::now();
+    let contract = Contract {
+        slots: 2,
+        cold_rate: 10,
+        health_path: Some(Arc::from("/health")),
+        ..Contract::default()
+    };
+    let mut gate = Gate::new(&contract, Start::Fresh, now);
+    gate.set_contract(&contract, now);
+    assert_eq!(gate.offer(ticket(1, 1, 9000, now), now), Decision::Wait);
+    actions(&mut gate);
+    look(&mut gate, 500, now);
+    assert_eq!(actions(&mut gate), [Action::Start(1)]);
+    let refused = gate.offer(hasty(2, now), now);
+    assert_eq!(refused, Decision::Refuse(Cause::TargetSlowed));
+}
