Tell the request that crashes targets from hedged neighbours

Cause of the failure of bystanders_run beside load: a hedge puts one request on two targets at once. On a busy machine the crashing request was hedged as well as some of its neighbours, both targets crashed within 4 ms (seen in the daemons' logs: three fingerprints on both), and the neighbours were refused as poisoned. Besides, a caller's resend could reach a sibling before the warning and run beside the crashing request again.

Ruled out: a lost datagram (both repeats arrived); running each hedge as a suspect, which left the case of two requests hedged onto each other's first target (three of six runs beside load still failed).

Now crashes are kept by target, and a request that shares all of its crashes with another one is run alone once more in place of being refused. An entry remembers the requests that a target broke off and marks the next send. A call that two targets broke off is not sent to a third. Daemons no longer pass on what they only heard: each says how often its own target crashed.

--- a/crates/basilbay_daemon/src/answer.rs
+++ b/crates/basilbay_daemon/src/answer.rs
@@ -9,7 +9,7 @@
 
 use basilbay_wire::dialect::{Dialect, Statuses};
 use basilbay_wire::header;
-use basilbay_wire::problem::{self, Cause, Problem};
+use basilbay_wire::problem::{self, Cause, Outcome, Problem};
 
 use crate::body::{self, Body};
 
@@ -43,12 +43,19 @@
     Problem(Problem),
 }
 
+impl Reply {
+    /// Whether the target broke off, so that the request may have crashed it.
+    pub fn is_broken(&self) -> bool {
+        let Self::Problem(problem) = self else {
+            return false;
+        };
+        problem.cause == Cause::TargetFailed && problem.outcome == Outcome::Unknown
+    }
+}
+
 /// Makes the answer for a problem.
 pub fn of_problem(problem: &Problem, instance: &str, dialect: &Dialect) -> Response<Body> {
-    let status = dialect.status(problem);
-    let mut document = problem.document(instance);
-    document.status = status.as_u16();
-    let text = serde_json::to_vec(&document).unwrap_or_default();
+    let (status, text) = document(problem, instance, dialect);
     let mut response = Response::new(body::full(Bytes::from(text)));
     *response.status_mut() = status;
     let headers = response.headers_mut();
@@ -68,10 +75,7 @@
 
 /// The bytes of an answer to a connection that ends with it, where there is no request to answer.
 pub fn last_words(problem: &Problem, instance: &str, dialect: &Dialect) -> Vec<u8> {
-    let status = dialect.status(problem);
-    let mut document = problem.document(instance);
-    document.status = status.as_u16();
-    let text = serde_json::to_vec(&document).unwrap_or_default();
+    let (status, text) = document(problem, instance, dialect);
     let mut bytes = format!(
         "HTTP/1.1 {status}\r\ncontent-type: {}\r\n{}: {}\r\ncontent-length: {}\r\n\
          connection: close\r\n\r\n",
@@ -85,6 +89,18 @@
     bytes
 }
 
+/// Status and body of a problem.
+fn document(problem: &Problem, instance: &str, dialect: &Dialect) -> (StatusCode, Vec<u8>) {
+    let status = dialect.status(problem);
+    let mut document = problem.document(instance);
+    document.status = status.as_u16();
+    let text = serde_json::to_vec(&document).unwrap_or_else(|error| {
+        tracing::error!(%error, "a problem document cannot be written");
+        Vec::new()
+    });
+    (status, text)
+}
+
 /// When a refused caller may try again.
 fn retry_after(cause: Cause, dialect: &Dialect) -> HeaderValue {
     if dialect.statuses == Statuses::Cause {
--- a/crates/basilbay_daemon/src/attempt.rs
+++ b/crates/basilbay_daemon/src/attempt.rs
@@ -69,7 +69,8 @@
         let may_hedge = attempts.idempotent && body.is_kept();
         let delay = self.shard.lock().hedge_delay().filter(|_| may_hedge);
         let first_id = pick.id.clone();
-        let first = self.attempt(pick, attempts, taken);
+        let suspect = attempts.may_have_run() || self.broke_before();
+        let first = self.attempt(pick, attempts, taken, suspect);
         let Some(delay) = delay else {
             return first.await;
         };
@@ -80,7 +81,8 @@
         let Some((pick, taken)) = self.hedge(&first_id, attempts, body) else {
             return first.await;
         };
-        let second = self.attempt(pick, attempts, taken);
+        // If the request that crashes targets is hedged as well, the two must not meet again.
+        let second = self.attempt(pick, attempts, taken, true);
         tokio::pin!(second);
         let (sooner, later) = tokio::select! {
             ended = &mut first => {
@@ -98,6 +100,9 @@
         };
         if !later.is_answer() {
             attempts.note(sooner.outcome());
+            if sooner.reply.is_broken() {
+                attempts.broke_off();
+            }
         }
         later
     }
@@ -139,16 +144,22 @@
         pick: Pick,
         attempts: &Attempts,
         body: Body,
+        suspect: bool,
     ) -> impl Future<Output = Ended> + use<'a> {
         let terms = Terms {
             role: Role::Run,
             allowance: attempts.allowance.passed_on(),
             may_wait: pick.may_wait,
-            suspect: attempts.may_have_run(),
+            suspect,
         };
         self.send(pick.id, terms, body)
     }
 
+    fn broke_before(self) -> bool {
+        let watchlist = &self.daemon.suspects;
+        watchlist.broke_before(self.errand.fingerprint, Instant::now())
+    }
+
     async fn send(self, id: InstanceId, terms: Terms, body: Body) -> Ended {
         let under_way = UnderWay {
             shard: self.shard,
@@ -158,6 +169,8 @@
         };
         let returned = self.exchange(&id, terms, body).await;
         under_way.end(&returned);
+        let watchlist = &self.daemon.suspects;
+        watchlist.ended(self.errand.fingerprint, &returned.reply, Instant::now());
         Ended {
             id,
             reply: returned.reply,
--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -135,7 +135,7 @@
             node.heard(origin, source, beat, *reply, now);
         }
         Message::Leaving => daemon.control.node().left(origin, now),
-        Message::Suspicions(suspicions) => daemon.suspects.hear(daemon, suspicions, now),
+        Message::Suspicions(suspicions) => daemon.suspects.hear(origin, suspicions, now),
     }
     settle(daemon);
 }
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -210,6 +210,9 @@
             Reply::Problem(problem) if is_local(problem) => Some(problem.outcome),
             Reply::Problem(_) => None,
         };
+        if reply.is_broken() {
+            self.attempts.broke_off();
+        }
         let burdens =
             matches!(&reply, Reply::Problem(problem) if problem.cause == Cause::TargetBusy);
         let is_passing = |cause| matches!(cause, Cause::NoCapacity | Cause::TargetSlowed);
--- a/crates/basilbay_daemon/src/suspects.rs
+++ b/crates/basilbay_daemon/src/suspects.rs
@@ -7,9 +7,10 @@
 use basilbay_events::catalogue;
 use basilbay_events::emit;
 use basilbay_keys::suspect::{Suspects, Verdict};
-use basilbay_model::id::ServiceId;
+use basilbay_model::id::{InstanceId, ServiceId};
 use basilbay_wire::datagram::{Body, Suspicion};
 
+use crate::answer::Reply;
 use crate::daemon::Daemon;
 
 /// Suspicions in one datagram, which must stay below 1,200 bytes.
@@ -18,34 +19,38 @@
 /// Times that each suspicion is sent: a lost one may cost another target.
 const REPEATS: usize = 2;
 
-/// The suspects of the own service.
+/// The suspects of the own service, and the requests of callers that a target broke off.
 #[derive(Debug)]
 pub struct Watchlist {
     suspects: Mutex<Suspects>,
+    /// Requests that were sent from here. A caller may send one again before the siblings of the
+    /// target have heard the warning, so the next send carries it along.
+    broken: Mutex<Suspects>,
 }
 
 impl Watchlist {
     /// An empty list.
     pub fn new(service: ServiceId) -> Self {
         Self {
-            suspects: Mutex::new(Suspects::new(service)),
+            suspects: Mutex::new(Suspects::new(service.clone())),
+            broken: Mutex::new(Suspects::new(service)),
         }
     }
 
     /// How a request may run.
     pub fn check(&self, fingerprint: u64, now: Instant) -> Verdict {
-        self.lock().check(fingerprint, now)
+        lock(&self.suspects).check(fingerprint, now)
     }
 
     /// Notes that a suspect ran through, and clears it everywhere.
     pub fn completed(&self, daemon: &Daemon, fingerprint: u64, now: Instant) {
-        let cleared = self.lock().completed(fingerprint, now);
+        let cleared = lock(&self.suspects).completed(fingerprint, now);
         tell(daemon, cleared.as_slice());
     }
 
     /// Notes that the target crashed with these requests on it, and warns the siblings.
     pub fn crashed(&self, daemon: &Daemon, in_flight: &[u64], now: Instant) {
-        let suspicions = self.lock().crashed(in_flight, now);
+        let suspicions = lock(&self.suspects).crashed(in_flight, now);
         for suspicion in &suspicions {
             emit!(
                 catalogue::REQUEST_SUSPECT,
@@ -56,19 +61,32 @@
         tell(daemon, &suspicions);
     }
 
-    /// Takes in what siblings said.
-    pub fn hear(&self, daemon: &Daemon, heard: &[Suspicion], now: Instant) {
-        let mut news = Vec::new();
-        {
-            let mut suspects = self.lock();
-            news.extend(heard.iter().filter_map(|heard| suspects.merge(heard, now)));
+    /// Takes in what a sibling said.
+    pub fn hear(&self, origin: &InstanceId, heard: &[Suspicion], now: Instant) {
+        let mut suspects = lock(&self.suspects);
+        for suspicion in heard {
+            suspects.merge(origin, suspicion, now);
         }
-        tell(daemon, &news);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Suspects> {
-        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Whether a target broke this request off when it was last sent from here.
+    pub fn broke_before(&self, fingerprint: u64, now: Instant) -> bool {
+        lock(&self.broken).check(fingerprint, now) != Verdict::Clear
     }
+
+    /// Notes how an attempt that was sent from here ended.
+    pub fn ended(&self, fingerprint: u64, reply: &Reply, now: Instant) {
+        let mut broken = lock(&self.broken);
+        if reply.is_broken() {
+            broken.crashed(&[fingerprint], now);
+        } else if matches!(reply, Reply::Answer(_)) {
+            broken.completed(fingerprint, now);
+        }
+    }
+}
+
+fn lock(suspects: &Mutex<Suspects>) -> MutexGuard<'_, Suspects> {
+    suspects.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 fn tell(daemon: &Daemon, suspicions: &[Suspicion]) {
--- a/crates/basilbay_daemon/tests/poison.rs
+++ b/crates/basilbay_daemon/tests/poison.rs
@@ -7,6 +7,7 @@
 #[path = "common/fleet.rs"]
 mod fleet;
 
+use basilbay_fakes::proxy::fault::Faults;
 use basilbay_fakes::targets::answer::POISON;
 use basilbay_wire::problem::{Cause, Outcome};
 use futures::future::join_all;
@@ -74,3 +75,41 @@
     tokio::join!(poison.reply(entry), beside);
     assert!((1..=2).contains(&crashes(&fleet)));
 }
+
+/// Guards against a resend that shares its second target with the request that crashed the first,
+/// because the warning to the siblings is lost or late.
+#[tokio::test(flavor = "multi_thread")]
+async fn unwarned_siblings() {
+    let plan = Plan {
+        median_us: 60_000,
+        ..Plan::new(&[("desk", 2), ("shop", 1)])
+    };
+    let fleet = Fleet::start(plan).await;
+    let entry = fleet.entry("shop-1");
+    let lossy = Faults {
+        lose_datagrams: true,
+        ..Faults::default()
+    };
+    for route in ["peer-desk-1", "peer-desk-2"] {
+        fleet.proxy.set_faults(route, lossy);
+    }
+    let poison = Call::write("poison").header(POISON, "1");
+    let calls: Vec<_> = (0..16)
+        .map(|n| format!("beside{n}"))
+        .map(|id| Call::write(id.clone()).id(&id))
+        .collect();
+    let send = |calls: Vec<Call>| async move {
+        join_all(calls.into_iter().map(|call| async move {
+            let reply = call.reply(entry).await;
+            let is_broken = reply.status != 200 && reply.problem().outcome == Outcome::Unknown;
+            is_broken.then_some(call)
+        }))
+        .await
+    };
+    let (_, first) = tokio::join!(poison.reply(entry), send(calls));
+    let broken: Vec<Call> = first.into_iter().flatten().collect();
+    assert_eq!(crashes(&fleet), 1);
+    assert!(!broken.is_empty(), "no request was beside the first crash");
+    let (_, second) = tokio::join!(poison.reply(entry), send(broken));
+    assert_eq!(second.iter().flatten().count(), 0, "broke off twice");
+}
--- a/crates/basilbay_fakes/src/proxy/datagram.rs
+++ b/crates/basilbay_fakes/src/proxy/datagram.rs
@@ -106,7 +106,8 @@
     bytes: &[u8],
     to: SocketAddr,
 ) {
-    if link.faults().partition || link.swallows(direction) {
+    let faults = link.faults();
+    if faults.partition || faults.lose_datagrams || link.swallows(direction) {
         return;
     }
     let due = link.due();
--- a/crates/basilbay_fakes/src/proxy/fault.rs
+++ b/crates/basilbay_fakes/src/proxy/fault.rs
@@ -27,6 +27,8 @@
     pub partition: bool,
     /// Swallows everything in this direction.
     pub half_open: Option<Direction>,
+    /// Swallows datagrams in both directions; connections stay.
+    pub lose_datagrams: bool,
     /// Resets a connection once it has passed on this many bytes, both directions together.
     pub reset_after_bytes: Option<u64>,
 }
--- a/crates/basilbay_keys/src/suspect.rs
+++ b/crates/basilbay_keys/src/suspect.rs
@@ -4,13 +4,16 @@
 //! another suspect beside it and is cleared when it completes; one with two crashes is refused
 //! until the retention is over, whatever completes.
 //!
-//! A daemon sends its total with each crash and never repeats what it only heard. So a daemon that
-//! saw a crash itself and hears of one from a sibling knows of two, even if neither had heard the
-//! other before, and it tells the others, who cannot tell two equal reports from a repetition.
+//! Several requests may share both crashes: hedges put one request on two targets at once, and a
+//! warning may come late. None of those is refused; each runs alone once more, which tells the
+//! cause from its neighbours.
+//!
+//! A daemon tells its siblings how often its own target crashed with a request. The crashes of all
+//! targets add up, and a repeated message adds nothing.
 
 use std::time::{Duration, Instant};
 
-use basilbay_model::id::ServiceId;
+use basilbay_model::id::{InstanceId, ServiceId};
 use basilbay_wire::datagram::Suspicion;
 
 use crate::digest;
@@ -21,9 +24,6 @@
 /// Number of suspects that are kept; the oldest are dropped beyond it.
 pub const MAX_SUSPECTS: usize = 1024;
 
-/// Crashes after which a request is refused.
-pub const REFUSED_CRASHES: u32 = 2;
-
 /// Bytes of the body that identify a request without a key.
 pub const BODY_PREFIX_BYTES: usize = 4096;
 
@@ -38,13 +38,16 @@
     Refuse,
 }
 
+/// A target: that of a sibling, or the own one.
+type Target = Option<InstanceId>;
+
 #[derive(Clone, Debug)]
 struct Entry {
     fingerprint: u64,
-    /// Crashes known of in all.
-    crashes: u32,
-    /// Crashes of this daemon's own target.
-    own: u32,
+    /// Crashes by target, sorted by target.
+    crashes: Vec<(Target, u32)>,
+    /// Whether the request once ran through; then it is no cause as long as another may be.
+    has_completed: bool,
     until: Instant,
 }
 
@@ -88,12 +91,13 @@
 
     /// How a request may run.
     pub fn check(&self, fingerprint: u64, now: Instant) -> Verdict {
-        let crashes = self
-            .entry(fingerprint, now)
-            .map_or(0, |entry| entry.crashes);
-        match crashes {
+        let Some(entry) = self.entry(fingerprint, now) else {
+            return Verdict::Clear;
+        };
+        match entry.total() {
             0 => Verdict::Clear,
             1 => Verdict::Alone,
+            _ if self.has_company(entry, now) => Verdict::Alone,
             _ => Verdict::Refuse,
         }
     }
@@ -106,38 +110,35 @@
         distinct.dedup();
         distinct
             .into_iter()
-            .map(|fingerprint| self.count_own(fingerprint, now))
+            .map(|fingerprint| {
+                let own = self.entry_mut(fingerprint, now).count(None);
+                *own += 1;
+                let crashes = *own;
+                self.suspicion(fingerprint, crashes)
+            })
             .collect()
     }
 
-    /// Clears a suspect with one crash, and returns the clearance that siblings are to be told.
+    /// Clears a suspect that is not refused, and returns the clearance that siblings are to be told.
     pub fn completed(&mut self, fingerprint: u64, now: Instant) -> Option<Suspicion> {
         self.drop_expired(now);
-        let cleared = self.clear(fingerprint);
+        let cleared = self.clear(fingerprint, now);
         cleared.then(|| self.suspicion(fingerprint, 0))
     }
 
-    /// Takes in what a sibling said; returns what the siblings have to be told in turn.
-    pub fn merge(&mut self, heard: &Suspicion, now: Instant) -> Option<Suspicion> {
+    /// Takes in what a sibling said of its own target.
+    pub fn merge(&mut self, origin: &InstanceId, heard: &Suspicion, now: Instant) {
         if heard.service != self.service {
-            return None;
+            return;
         }
         self.drop_expired(now);
         if heard.crashes == 0 {
-            self.clear(heard.fingerprint);
-            return None;
+            self.clear(heard.fingerprint, now);
+            return;
         }
         let entry = self.entry_mut(heard.fingerprint, now);
-        let known = entry.crashes;
-        let inferred = entry.own + 1;
-        let crashes = known.max(heard.crashes).max(inferred);
-        if crashes == known {
-            return None;
-        }
-        entry.crashes = crashes;
-        entry.until = now + RETENTION;
-        let news = crashes > heard.crashes;
-        news.then(|| self.suspicion(heard.fingerprint, crashes))
+        let known = entry.count(Some(origin.clone()));
+        *known = heard.crashes.max(*known);
     }
 
     /// Number of suspects.
@@ -150,26 +151,30 @@
         self.entries.is_empty()
     }
 
-    fn count_own(&mut self, fingerprint: u64, now: Instant) -> Suspicion {
-        let entry = self.entry_mut(fingerprint, now);
-        entry.own += 1;
-        entry.crashes += 1;
-        entry.until = now + RETENTION;
-        let crashes = entry.crashes;
-        self.suspicion(fingerprint, crashes)
-    }
-
-    fn clear(&mut self, fingerprint: u64) -> bool {
+    fn clear(&mut self, fingerprint: u64, now: Instant) -> bool {
+        let is_refused = self.check(fingerprint, now) == Verdict::Refuse;
         let Ok(index) = self.place(fingerprint) else {
             return false;
         };
-        if self.entries[index].crashes >= REFUSED_CRASHES {
+        let entry = &mut self.entries[index];
+        if is_refused || entry.crashes.is_empty() {
             return false;
         }
-        self.entries.remove(index);
+        entry.crashes.clear();
+        entry.has_completed = true;
         true
     }
 
+    /// Whether another request that never ran through shares all crashes of this one.
+    fn has_company(&self, entry: &Entry, now: Instant) -> bool {
+        self.entries.iter().any(|other| {
+            other.fingerprint != entry.fingerprint
+                && now < other.until
+                && !other.has_completed
+                && other.crashes == entry.crashes
+        })
+    }
+
     fn suspicion(&self, fingerprint: u64, crashes: u32) -> Suspicion {
         Suspicion {
             service: self.service.clone(),
@@ -199,7 +204,9 @@
                 index
             }
         };
-        &mut self.entries[index]
+        let entry = &mut self.entries[index];
+        entry.until = now + RETENTION;
+        entry
     }
 
     fn drop_oldest(&mut self) {
@@ -218,11 +225,28 @@
     fn new(fingerprint: u64, now: Instant) -> Self {
         Self {
             fingerprint,
-            crashes: 0,
-            own: 0,
+            crashes: Vec::new(),
+            has_completed: false,
             until: now + RETENTION,
         }
     }
+
+    /// Crashes of all targets.
+    fn total(&self) -> u32 {
+        self.crashes.iter().map(|(_, count)| *count).sum()
+    }
+
+    /// The crashes of one target.
+    fn count(&mut self, target: Target) -> &mut u32 {
+        let found = self
+            .crashes
+            .binary_search_by(|(known, _)| known.cmp(&target));
+        let index = found.unwrap_or_else(|index| {
+            self.crashes.insert(index, (target, 0));
+            index
+        });
+        &mut self.crashes[index].1
+    }
 }
 
 fn head(body: &[u8]) -> &[u8] {
--- a/crates/basilbay_keys/tests/suspect.rs
+++ b/crates/basilbay_keys/tests/suspect.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use basilbay_keys::suspect::{self, MAX_SUSPECTS, RETENTION, Suspects, Verdict};
+use basilbay_model::id::InstanceId;
 use basilbay_wire::datagram::Suspicion;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -15,16 +16,15 @@
     (0..count).map(|_| Suspects::new(SERVICE.into())).collect()
 }
 
-/// Delivers messages to every daemon but their sender, and what these make them send in turn.
+fn id(index: usize) -> InstanceId {
+    format!("{SERVICE}-{index}").as_str().into()
+}
+
+/// Delivers messages to every daemon but their sender.
 fn deliver(fleet: &mut [Suspects], from: usize, messages: Vec<Suspicion>, now: Instant) {
-    let mut waiting: Vec<_> = messages
-        .into_iter()
-        .map(|message| (from, message))
-        .collect();
-    while let Some((from, message)) = waiting.pop() {
+    for message in messages {
         for to in (0..fleet.len()).filter(|to| *to != from) {
-            let news = fleet[to].merge(&message, now);
-            waiting.extend(news.map(|message| (to, message)));
+            fleet[to].merge(&id(from), &message, now);
         }
     }
 }
@@ -76,6 +76,43 @@
     }
 }
 
+/// Guards against refusing a hedged request that shared both of its targets with a hedged poison.
+#[test]
+fn hedged_neighbours() {
+    let now = Instant::now();
+    let mut fleet = fleet(4);
+    let first = fleet[0].crashed(&[POISON, INNOCENT], now);
+    let second = fleet[1].crashed(&[POISON, INNOCENT], now);
+    deliver(&mut fleet, 0, first, now);
+    deliver(&mut fleet, 1, second, now);
+    for daemon in &fleet {
+        assert_eq!(daemon.check(INNOCENT, now), Verdict::Alone);
+        assert_eq!(daemon.check(POISON, now), Verdict::Alone);
+    }
+    let told = fleet[2].completed(INNOCENT, now);
+    deliver(&mut fleet, 2, told.into_iter().collect(), now);
+    for daemon in &fleet {
+        assert_eq!(daemon.check(INNOCENT, now), Verdict::Clear);
+        assert_eq!(daemon.check(POISON, now), Verdict::Refuse);
+    }
+}
+
+/// Guards against a cause that runs on since it always crashes with the same neighbour.
+#[test]
+fn third_crash() {
+    let now = Instant::now();
+    let mut fleet = fleet(4);
+    for at in [0, 1] {
+        let told = fleet[at].crashed(&[POISON, INNOCENT], now);
+        deliver(&mut fleet, at, told, now);
+    }
+    let told = fleet[3].crashed(&[POISON], now);
+    deliver(&mut fleet, 3, told, now);
+    for daemon in &fleet {
+        assert_eq!(daemon.check(POISON, now), Verdict::Refuse);
+    }
+}
+
 /// Guards against a repeated datagram that counts as a second crash.
 #[test]
 fn repeated_datagram() {
@@ -98,7 +135,7 @@
     let told = fleet[1].crashed(&[POISON], now);
     let cleared = fleet[1].completed(POISON, now).unwrap();
     assert_eq!((told[0].crashes, cleared.crashes), (1, 0));
-    fleet[0].merge(&cleared, now);
+    fleet[0].merge(&id(1), &cleared, now);
     assert_eq!(fleet[0].check(POISON, now), Verdict::Refuse);
 }
 
@@ -147,8 +184,7 @@
         for (pick, to) in order {
             let (from, message) = pick.get(&sent).clone();
             if from != to {
-                let news = fleet[to].merge(&message, now);
-                sent.extend(news.map(|message| (to, message)));
+                fleet[to].merge(&id(from), &message, now);
             }
         }
         for (from, message) in sent {
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -112,6 +112,10 @@
     }
 }
 
+/// Targets that may break off the attempts of one call; a request that crashes its targets is not
+/// sent to more of them before its caller sends it again.
+pub const MAX_BROKEN: u8 = 2;
+
 /// The attempts of one call at one level.
 #[derive(Clone, Copy, Debug)]
 pub struct Attempts {
@@ -125,6 +129,8 @@
     pub refusals: u8,
     /// Whether an attempt ended without saying that the request has not run.
     may_have_run: bool,
+    /// Attempts that a target broke off.
+    broken: u8,
 }
 
 impl Attempts {
@@ -136,6 +142,7 @@
             allowance: Allowance::split(allowance),
             refusals: 0,
             may_have_run: false,
+            broken: 0,
         }
     }
 
@@ -144,6 +151,11 @@
         self.may_have_run |= outcome == Outcome::Unknown;
     }
 
+    /// Notes that a target broke an attempt off, which may be the request's doing.
+    pub fn broke_off(&mut self) {
+        self.broken += 1;
+    }
+
     /// Whether an attempt ended without saying that the request has not run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
@@ -169,7 +181,7 @@
     /// Whether to try again after an attempt that ended with `outcome`.
     pub fn again(&mut self, outcome: Outcome, budget: &mut Budget, now: Instant) -> bool {
         self.note(outcome);
-        if now >= self.deadline {
+        if now >= self.deadline || self.broken >= MAX_BROKEN {
             return false;
         }
         match outcome {
--- a/crates/basilbay_routing/tests/retry.rs
+++ b/crates/basilbay_routing/tests/retry.rs
@@ -61,6 +61,18 @@
     assert_eq!(count, MAX_REFUSALS);
 }
 
+/// Guards against a request that crashes a third target within one call.
+#[test]
+fn broken_twice() {
+    let now = Instant::now();
+    let mut budget = Budget::new(100, now);
+    let mut attempts = Attempts::new(true, now + Duration::from_secs(1), 6);
+    attempts.broke_off();
+    assert!(attempts.again(Outcome::Unknown, &mut budget, now));
+    attempts.broke_off();
+    assert!(!attempts.again(Outcome::Unknown, &mut budget, now));
+}
+
 proptest! {
     /// Guards against a retry storm: second runs stay within the share of calls and the floor.
     #[test]
--- a/crates/basilbay_wire/src/datagram.rs
+++ b/crates/basilbay_wire/src/datagram.rs
@@ -31,7 +31,7 @@
     pub service: ServiceId,
     /// Fingerprint of the request.
     pub fingerprint: u64,
-    /// Crashes with this request in flight; 0 clears the suspicion.
+    /// Crashes of the sender's target with this request in flight; 0 clears the suspicion.
     pub crashes: u32,
 }
 
