Hand a cold target its whole stated rate

Cause of the worst seconds after a power loss on the grown sites: a cold target was bounded to a quarter of its rate at the same time. With a rate of 11 a second and 620 ms for a request, two ran at once, 3.2 a second, where the target bears 11.

Ruled out: the rate itself and the slots (12 of 16), which were never reached.

The rate alone now bounds starts; the load that siblings hear states how many may start, and the expected wait takes the rate into account.

--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -328,10 +328,15 @@
 
     /// Requests that may run at this moment, by the least of all limits.
     pub fn limit(&self) -> u32 {
-        let mut own = self.limit.allowed().min(self.ramp.allowed());
-        if self.pace.is_cold() {
-            own = own.min(self.pace.concurrent());
-        }
+        let slots = self.slots();
+        let running = self.running.len() as u32;
+        let paced = self.pace.left().map(|left| left.saturating_add(running));
+        paced.map_or(slots, |paced| paced.min(slots))
+    }
+
+    /// Requests that may run at the same time.
+    fn slots(&self) -> u32 {
+        let own = self.limit.allowed().min(self.ramp.allowed());
         self.restriction
             .map_or(own, |restriction| restriction.allowed.min(own))
     }
@@ -388,7 +393,7 @@
         if queue::last_start(&ticket, service) <= now {
             return Decision::Refuse(Cause::DeadlinePassed);
         }
-        if queue::last_start(&ticket, service) <= now + self.expected_wait(service) {
+        if queue::last_start(&ticket, service) <= now + self.expected_wait(service, now) {
             return Decision::Refuse(Cause::NoCapacity);
         }
         if self.queue.is_full() {
@@ -405,10 +410,11 @@
     }
 
     /// Time until a request at the end of the queue is started, if each slot is freed once in a
-    /// service time.
-    fn expected_wait(&self, service: Duration) -> Duration {
+    /// service time and the rate of a cold start is used up.
+    fn expected_wait(&self, service: Duration, now: Instant) -> Duration {
         let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
-        service.saturating_mul(ahead) / self.limit().max(1)
+        let by_slots = service.saturating_mul(ahead) / self.slots().max(1);
+        by_slots.max(self.pace.wait(self.queue.len(), now))
     }
 
     fn learn(&mut self, result: Completion, sample: Sample) {
--- a/crates/basilbay_admission/src/pace.rs
+++ b/crates/basilbay_admission/src/pace.rs
@@ -14,9 +14,6 @@
 /// Part of the rate that an earlier daemon may have used in the second before this one started.
 const EARLIER_PART: u32 = 2;
 
-/// Part of the rate that a cold target runs at the same time: a quarter of a second's requests.
-const CONCURRENT_PART: u32 = 4;
-
 /// The pace of one target.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -69,9 +66,24 @@
         self.is_set() && self.cold_until.is_some()
     }
 
-    /// Requests that may run at the same time while the target is cold.
-    pub fn concurrent(&self) -> u32 {
-        (self.rate / CONCURRENT_PART).max(1)
+    /// Requests that may start at once; none if the target is warm, where nothing bounds them.
+    pub fn left(&self) -> Option<u32> {
+        let starts = u32::try_from(self.starts.len()).unwrap_or(u32::MAX);
+        self.is_cold().then(|| self.rate.saturating_sub(starts))
+    }
+
+    /// Time until a request may start that has `ahead` others before it.
+    pub fn wait(&self, ahead: usize, now: Instant) -> Duration {
+        let Some(cold_until) = self.cold_until.filter(|_| self.is_set()) else {
+            return Duration::ZERO;
+        };
+        let rate = self.rate as usize;
+        let (rounds, ahead) = (ahead / rate, ahead % rate);
+        // As many start in each window as in the one before it.
+        let earlier = (self.starts.len() + ahead).checked_sub(rate);
+        let free_at = earlier.map_or(now, |index| self.starts[index] + WINDOW);
+        let start_at = free_at + WINDOW * u32::try_from(rounds).unwrap_or(u32::MAX);
+        start_at.min(cold_until).saturating_duration_since(now)
     }
 
     /// Whether a request may start now.
--- a/crates/basilbay_admission/tests/pace.rs
+++ b/crates/basilbay_admission/tests/pace.rs
@@ -7,6 +7,7 @@
 
 use basilbay_admission::gate::{Action, Closed, Completion, Decision, Gate, Start};
 use basilbay_model::service::Contract;
+use basilbay_wire::problem::Cause;
 use request::ticket;
 
 fn contract() -> Contract {
@@ -109,3 +110,51 @@
     gate.observe_cold(millis(2000), turned);
     assert_eq!(stream(&mut gate, turned, 60).len(), 0);
 }
+
+/// Guards against a cold target that is handed a part of its rate since its requests take long.
+#[test]
+fn whole_rate() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(), Start::Fresh, now);
+    let decisions: Vec<_> = (0..12)
+        .map(|id| gate.offer(ticket(id, 1, 60_000, now), now + millis(10 * id)))
+        .collect();
+    assert!(decisions[..10].iter().all(|it| *it == Decision::Run));
+    assert!(decisions[10..].iter().all(|it| *it == Decision::Wait));
+    let load = gate.load();
+    assert_eq!((load.in_flight, load.limit), (10, 10));
+}
+
+/// Guards against siblings that are told of room on a cold target whose rate is used up.
+#[test]
+fn tells_room() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(), Start::Fresh, now);
+    assert_eq!(gate.load().limit, 10);
+    for id in 0..10 {
+        assert_eq!(gate.offer(ticket(id, 1, 60_000, now), now), Decision::Run);
+        gate.complete(id, Completion::Answered, now + millis(id));
+    }
+    let load = gate.load();
+    assert_eq!((load.in_flight, load.limit), (0, 0));
+}
+
+/// Guards against a request that waits for a start which the rate puts after its last moment.
+#[test]
+fn known_too_late() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(), Start::Fresh, now);
+    for id in 0..25 {
+        let decision = gate.offer(ticket(id, 1, 60_000, now), now);
+        let expected = if id < 10 {
+            Decision::Run
+        } else {
+            Decision::Wait
+        };
+        assert_eq!(decision, expected, "request {id}");
+    }
+    // The next one starts with those of the second window from now.
+    let decision = gate.offer(ticket(25, 1, 900, now), now);
+    assert_eq!(decision, Decision::Refuse(Cause::NoCapacity));
+    assert_eq!(gate.offer(ticket(26, 1, 2500, now), now), Decision::Wait);
+}
