Do not assume earlier starts where target and daemon started together

Cause: after a power loss each daemon found its target running and took half of the cold rate for used by an earlier daemon, in the second that serves the herd. The target's own word on its cold start now tells its age; where it is no older than the daemon and 100 ms, nothing is assumed.

--- a/crates/basilbay_admission/src/pace.rs
+++ b/crates/basilbay_admission/src/pace.rs
@@ -14,6 +14,10 @@
 /// Part of the rate that an earlier daemon may have used in the second before this one started.
 const EARLIER_PART: u32 = 2;
 
+/// Time by which a target may be older than its daemon and count as started with it; a daemon that
+/// is killed takes longer to come back.
+const TOGETHER: Duration = Duration::from_millis(100);
+
 /// The pace of one target.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -21,6 +25,8 @@
     cold: Duration,
     cold_until: Option<Instant>,
     starts: VecDeque<Instant>,
+    /// When the target was found; starts of an earlier daemon are assumed at that time.
+    found: Instant,
 }
 
 impl Pace {
@@ -32,6 +38,7 @@
             cold: contract.cold,
             cold_until: Some(now + contract.cold),
             starts: VecDeque::new(),
+            found: now,
         };
         if earlier {
             let used = contract.cold_rate.div_ceil(EARLIER_PART);
@@ -59,6 +66,11 @@
     /// Takes what the target says of itself: how much longer it stays cold.
     pub fn observe(&mut self, left: Duration, now: Instant) {
         self.cold_until = (!left.is_zero()).then(|| now + left);
+        let age = self.cold.saturating_sub(left);
+        if age <= now.saturating_duration_since(self.found) + TOGETHER {
+            // The target started when this daemon did, so no earlier one handed it anything.
+            self.starts.retain(|start| *start > self.found);
+        }
     }
 
     /// Whether the target counts as cold.
--- a/crates/basilbay_admission/tests/pace.rs
+++ b/crates/basilbay_admission/tests/pace.rs
@@ -81,6 +81,19 @@
     assert_eq!(stream(&mut gate, now, 90).len(), 5);
 }
 
+/// Guards against a target that gets half of its rate after a power loss, since it is found running
+/// by a daemon that started with it.
+#[test]
+fn started_together() {
+    let now = Instant::now();
+    let mut gate = Gate::new(&contract(), Start::Restart, now);
+    gate.observe_cold(millis(2990), now + millis(20));
+    assert_eq!(stream(&mut gate, now + millis(20), 90).len(), 10);
+    let mut gate = Gate::new(&contract(), Start::Restart, now);
+    gate.observe_cold(millis(2700), now + millis(20));
+    assert_eq!(stream(&mut gate, now + millis(20), 90).len(), 5);
+}
+
 /// Guards against full load on a target that turned cold while it was closed.
 #[test]
 fn reopened_cold() {
