Soak fleets of real processes in faults that a seed draws

`basilbay-load soak` plays seeds on the machinery of the scenarios: kills, stops, pauses, delays, partitions, one-way silence, resets, lost datagrams, a platform that is down, slow or stale, domains out and in, crashed, slow and cold targets, noise, and requests that crash their targets. Guarantees are checked as in every scenario, and the end must be served as if nothing had happened. Tests draw 200 seeds and play one.

Two faults of the harness that it showed: - A direction that swallowed bytes let the same connection go on afterwards, with a gap that TCP never has. Such a connection is now reset; test proxy::no_gaps failed before.

--- a/crates/basilbay_fakes/src/proxy/stream.rs
+++ b/crates/basilbay_fakes/src/proxy/stream.rs
@@ -117,6 +117,7 @@
 ) -> Result<(), Reset> {
     let mut buffer = BytesMut::with_capacity(CHUNK_BYTES);
     let mut last = Instant::now();
+    let mut has_gap = false;
     loop {
         link.healed().await;
         buffer.reserve(CHUNK_BYTES);
@@ -124,11 +125,16 @@
         if link.swallows(direction) {
             buffer.clear();
             if count > 0 {
+                has_gap = true;
                 continue;
             }
             // The other side must not learn of the end either.
             link.opened(direction).await;
         }
+        if has_gap {
+            // TCP breaks a connection off rather than going on with bytes left out.
+            return Err(Reset);
+        }
         if count == 0 {
             return Ok(());
         }
--- a/crates/basilbay_fakes/tests/proxy.rs
+++ b/crates/basilbay_fakes/tests/proxy.rs
@@ -112,6 +112,25 @@
     assert_eq!(proxy.status()[0].bytes, 12);
 }
 
+/// Guards against a stream that goes on with a gap once its direction is open again: header tables
+/// of HTTP/2 connections went out of step, and answers went to the wrong requests.
+#[tokio::test]
+async fn no_gaps() {
+    let proxy = start().await;
+    let mut stream = connect(&proxy).await;
+    echoed(&mut stream).await.unwrap();
+    for half_open in [Some(Direction::Forward), None] {
+        let faults = Faults {
+            half_open,
+            ..Faults::default()
+        };
+        proxy.set_faults("a", faults);
+        let lost = timeout(SHORT, echoed(&mut stream)).await;
+        assert!(lost.is_err() || lost.is_ok_and(|echoed| echoed.is_err()));
+    }
+    echoed(&mut connect(&proxy).await).await.unwrap();
+}
+
 /// Guards against a partition that passes bytes on, or that loses bytes of a stream.
 #[tokio::test]
 async fn partition_heals() {
--- a/crates/basilbay_load/src/account.rs
+++ b/crates/basilbay_load/src/account.rs
@@ -312,7 +312,14 @@
         let Fact::Leaving(leaving) = &event.fact else {
             continue;
         };
-        for (run, since) in after(evidence, event.at_us, u64::MAX, |target| target == leaving) {
+        // A daemon that starts beside the target takes it into service again.
+        let returned = evidence.events.iter().find(|later| {
+            let is_back =
+                matches!(&later.fact, Fact::Restarted { target, .. } if target == leaving);
+            later.at_us >= event.at_us && is_back
+        });
+        let until = returned.map_or(u64::MAX, |returned| returned.at_us);
+        for (run, since) in after(evidence, event.at_us, until, |target| target == leaving) {
             latest = latest.max(Some(since));
             if since > LEAVING_LIMIT {
                 breaches.leaving.add(|| run.request.to_string());
--- a/crates/basilbay_load/src/command.rs
+++ b/crates/basilbay_load/src/command.rs
@@ -10,7 +10,7 @@
 
 use crate::compare::{self, Contest, POLICIES};
 use crate::scenario::{Scenario, catalogue};
-use crate::{capacity, demo, latency, quick, report, table};
+use crate::{capacity, demo, latency, quick, report, soak, table};
 
 /// Threads of the runtime that sends the requests.
 const THREADS: usize = 4;
@@ -105,6 +105,34 @@
                 )
                 .arg(json()),
         )
+        .subcommand(
+            Command::new("soak")
+                .about("Plays random faults on fleets, one seed after the other")
+                .arg(
+                    Arg::new("seeds")
+                        .long("seeds")
+                        .value_name("N")
+                        .value_parser(value_parser!(u64).range(1..))
+                        .default_value("10")
+                        .help("How many seeds to play after those that failed once"),
+                )
+                .arg(
+                    Arg::new("from")
+                        .long("from")
+                        .value_name("SEED")
+                        .value_parser(value_parser!(u64))
+                        .default_value("1")
+                        .help("First seed"),
+                )
+                .arg(
+                    Arg::new("seconds")
+                        .long("seconds")
+                        .value_parser(value_parser!(f64))
+                        .default_value("10")
+                        .help("Length of the load of each seed; 8 at least"),
+                )
+                .arg(json()),
+        )
         .subcommand(
             Command::new("quick")
                 .about("Measures everything that matters in under 50 seconds")
@@ -163,6 +191,7 @@
         Some(("latency", matches)) => run_latency(matches).await,
         Some(("report", matches)) => run_report(matches).await,
         Some(("capacity", matches)) => run_capacity(matches).await,
+        Some(("soak", matches)) => run_soak(matches).await,
         Some(("quick", matches)) => run_quick(matches).await,
         _ => anyhow::bail!("unknown command"),
     }
@@ -268,6 +297,22 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn run_soak(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let seconds = matches.get_one::<f64>("seconds").copied().unwrap_or(10.0);
+    let (from, count) = (number("from"), number("seeds"));
+    let known = soak::regressions();
+    let seeds = known.into_iter().chain(from..from.saturating_add(count));
+    let mut outcomes = Vec::new();
+    for seed in seeds {
+        let outcome = soak::play(seed, seconds).await?;
+        println!("{outcome}");
+        outcomes.push(outcome);
+    }
+    write_json(matches, &outcomes)?;
+    Ok(code(outcomes.iter().all(soak::Outcome::holds)))
+}
+
 async fn run_quick(matches: &ArgMatches) -> anyhow::Result<ExitCode> {
     let quick = quick::run().await?;
     println!("{}", quick.text());
--- a/crates/basilbay_load/src/fleet.rs
+++ b/crates/basilbay_load/src/fleet.rs
@@ -215,11 +215,11 @@
         self.members[index].starts += 1;
         let member = &mut self.members[index];
         member.id = Arc::from(format!("{}-{}", member.target, member.starts));
-        let id = member.id.clone();
+        let (new, target) = (member.id.clone(), member.target.clone());
+        // It may take work before the list names it.
+        self.note(Fact::Restarted { old, new, target });
         self.start_daemon(index)?;
-        self.publish_instances().await?;
-        self.note(Fact::Restarted { old, new: id });
-        Ok(())
+        self.publish_instances().await
     }
 
     /// Kills all daemons and starts them again under their ids, as after a loss of power.
--- a/crates/basilbay_load/src/fleet/event.rs
+++ b/crates/basilbay_load/src/fleet/event.rs
@@ -25,6 +25,8 @@
         old: InstanceId,
         /// Id after.
         new: InstanceId,
+        /// Its target, which stays.
+        target: InstanceId,
     },
 }
 
--- a/crates/basilbay_load/src/lib.rs
+++ b/crates/basilbay_load/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod quick;
 pub mod report;
 pub mod scenario;
+pub mod soak;
 pub mod table;
 pub mod trial;
--- /dev/null
+++ b/crates/basilbay_load/src/soak.rs
@@ -0,0 +1,376 @@
+//! Random faults on a fleet of real processes: a seed gives the faults, their times and the load.
+//!
+//! Each seed draws a scenario. Faults come in series and overlap; all of them are over some time
+//! before the load ends, so that the end shows whether the fleet has recovered. The guarantees are
+//! checked from what callers were told and what targets ran, as in every scenario.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::Arc;
+
+use basilbay_fakes::platform::fault::{self, Faults};
+use basilbay_fakes::proxy::fault::{Direction, Faults as Path};
+use basilbay_fakes::targets::answer::POISON;
+use basilbay_fakes::targets::fault::{Change, Crash, Noise, Straggle};
+use basilbay_model::id::DomainId;
+use fastrand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::account::row::Class;
+use crate::account::{Breaches, classify};
+use crate::deployment::Deployment;
+use crate::plan::{Plan, Stream};
+use crate::scenario::act::Act;
+use crate::scenario::verdict::{Check, Limit};
+use crate::scenario::{Event, Extra, Scenario};
+use crate::trial::Trial;
+
+/// Result of a soak.
+pub type Result<T> = anyhow::Result<T>;
+
+/// Seeds that failed once, each with a line on its cause; every soak plays them first.
+const REGRESSIONS: &str = include_str!("../soak-seeds.txt");
+
+/// Time before the first fault, in ms.
+const LEAD_MS: u64 = 500;
+
+/// Time after the last fault in which the fleet may still recover, in ms: a daemon that starts
+/// catches up within four seconds (section 4.7 of the design).
+const RECOVERY_MS: u64 = 4_500;
+
+/// Time at the end that must be served as if nothing had happened, in ms.
+const CALM_MS: u64 = 1_500;
+
+/// Part of the requests of the calm time that must be answered in time.
+const CALM_ANSWERED: f64 = 0.95;
+
+/// Longest fault, in ms.
+const LONGEST_MS: u64 = 1_500;
+
+/// Longest pause of a daemon, in ms; a caller of a paused daemon waits that long.
+const LONGEST_PAUSE_MS: u64 = 700;
+
+/// Numbers of faults of one seed.
+const FAULTS: std::ops::RangeInclusive<usize> = 3..=8;
+
+/// Requests a second that crash their targets, in seeds that have them.
+const POISON_RATE: f64 = 0.5;
+
+/// Slots of each target: the machine's processors must not be what limits the fleet.
+const SLOTS: u32 = 4;
+
+/// Parts of the capacity that are asked for; the highest is near the limit.
+const LOADS: [f64; 4] = [0.2, 0.4, 0.6, 0.85];
+
+/// What one seed showed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Outcome {
+    /// The seed.
+    pub seed: u64,
+    /// What was played.
+    pub scenario: Scenario,
+    /// Broken guarantees.
+    pub breaches: Breaches,
+    /// The limits that were checked.
+    pub checks: Vec<Check>,
+}
+
+impl Outcome {
+    /// Whether nothing was broken.
+    pub fn holds(&self) -> bool {
+        self.checks.iter().all(|check| check.holds)
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let word = if self.holds() { "passed" } else { "FAILED" };
+        write!(formatter, "seed {}: {word}", self.seed)?;
+        for check in self.checks.iter().filter(|check| !check.holds) {
+            write!(formatter, "\n  {}", check.line())?;
+        }
+        for (name, breach) in self.breaches.named() {
+            if breach.count > 0 {
+                let examples = breach.examples.join("; ");
+                write!(formatter, "\n  {name}: {} ({examples})", breach.count)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The seeds that failed once.
+pub fn regressions() -> Vec<u64> {
+    let lines = REGRESSIONS.lines().map(str::trim);
+    lines
+        .filter(|line| !line.starts_with('#'))
+        .filter_map(|line| line.split_whitespace().next()?.parse().ok())
+        .collect()
+}
+
+/// Draws the scenario of a seed.
+pub fn draw(seed: u64, seconds: f64) -> Result<Scenario> {
+    let mut rng = Rng::with_seed(seed);
+    let name = *pick(&mut rng, &["caroni", "ozolini"]);
+    let deployment = Deployment::named(name)?;
+    let last_ms = ((seconds * 1000.0) as u64).saturating_sub(RECOVERY_MS + CALM_MS);
+    let mut faults = Faulty {
+        members: deployment.staff.iter().map(|staff| staff.workers).sum(),
+        domains: deployment.domains(),
+        last_ms: last_ms.max(LEAD_MS + LONGEST_MS),
+        events: Vec::new(),
+        busy: Vec::new(),
+        rng,
+    };
+    let count = faults.rng.usize(FAULTS);
+    for _ in 0..count {
+        faults.add();
+    }
+    let has_poison = faults.rng.u8(..4) == 0;
+    let load = *pick(&mut faults.rng, &LOADS);
+    let keyed = *pick(&mut faults.rng, &[0.0, 0.5]);
+    Ok(Scenario {
+        name: Arc::from(format!("soak-{seed}")),
+        about: Arc::from("Faults that a seed draws."),
+        deployment: Arc::from(name),
+        slots: Some(SLOTS),
+        scale: 1.0,
+        cold: false,
+        proxied: true,
+        seconds,
+        load,
+        keyed,
+        body_bytes: *pick(&mut faults.rng, &[0, 0, 2_000, 100_000]),
+        http2: faults.rng.bool(),
+        grace_ms: 2_000,
+        steps: Vec::new(),
+        extra: has_poison
+            .then(|| poisoned(&deployment))
+            .flatten()
+            .into_iter()
+            .collect(),
+        events: faults.events,
+        limits: Limit::default(),
+    })
+}
+
+/// Plays a seed and checks what it brought.
+pub async fn play(seed: u64, seconds: f64) -> Result<Outcome> {
+    let scenario = draw(seed, seconds)?;
+    let (mut fleet, mut crowd) = scenario.prepare(None).await?;
+    let plan = scenario.plan(&fleet.deployment, seed)?;
+    let (trial, verdict) = scenario.run_on(&mut fleet, &mut crowd, seed).await?;
+    let mut checks = verdict.checks;
+    checks.push(Check::least(
+        "answered once all is calm",
+        calm_part(&trial, &plan),
+        CALM_ANSWERED,
+    ));
+    Ok(Outcome {
+        seed,
+        scenario,
+        breaches: trial.account.breaches,
+        checks,
+    })
+}
+
+/// Part of the requests of the calm time that was answered; those with a key may have to wait for
+/// a daemon that is old enough to own them.
+fn calm_part(trial: &Trial, plan: &Plan) -> f64 {
+    let last = trial.records.iter().map(|record| record.due_us).max();
+    let from = last.unwrap_or(0).saturating_sub(CALM_MS * 1000);
+    let calm = trial
+        .records
+        .iter()
+        .filter(|record| record.due_us >= from && record.key.is_none());
+    let (mut all, mut answered) = (0_u64, 0_u64);
+    for record in calm {
+        let stream = &plan.streams[record.stream];
+        if stream.headers.is_empty() {
+            all += 1;
+            answered += u64::from(classify(record, stream) == Class::Answered);
+        }
+    }
+    if all == 0 {
+        return 1.0;
+    }
+    answered as f64 / all as f64
+}
+
+/// Faults that are drawn one after the other.
+struct Faulty {
+    rng: Rng,
+    members: usize,
+    domains: Vec<DomainId>,
+    last_ms: u64,
+    events: Vec<Event>,
+    /// Members that a fault stops, with its time; two such faults on one would undo each other.
+    busy: Vec<(usize, u64, u64)>,
+}
+
+impl Faulty {
+    fn add(&mut self) {
+        let at = self.rng.u64(LEAD_MS..self.last_ms);
+        let length = self.rng.u64(100..LONGEST_MS);
+        let until = (at + length).min(self.last_ms);
+        let member = self.rng.usize(..self.members);
+        match self.rng.u8(..14) {
+            0 => self.stop(member, at, until, Act::Kill(member)),
+            1 => self.stop(member, at, until, Act::Terminate(member)),
+            2 => self.pause(member, at, until),
+            3 => self.path(member, at, until, |rng| Path {
+                delay_ms: rng.f64() * 50.0,
+                jitter_ms: rng.f64() * 50.0,
+                ..Path::default()
+            }),
+            4 => self.path(member, at, until, |_| Path {
+                partition: true,
+                ..Path::default()
+            }),
+            5 => self.path(member, at, until, |rng| Path {
+                half_open: Some(if rng.bool() {
+                    Direction::Forward
+                } else {
+                    Direction::Backward
+                }),
+                ..Path::default()
+            }),
+            6 => self.path(member, at, until, |rng| Path {
+                reset_after_bytes: Some(rng.u64(100..100_000)),
+                ..Path::default()
+            }),
+            7 => self.path(member, at, until, |_| Path {
+                lose_datagrams: true,
+                ..Path::default()
+            }),
+            8 => self.platform(at, until),
+            9 => self.domain(at, until),
+            10 => self.event(at, Act::Target(member, crash(until - at))),
+            11 => self.event(at, Act::Target(member, straggle(until - at))),
+            12 => self.noise(at, until),
+            _ => self.cool(member, at),
+        }
+    }
+
+    fn event(&mut self, at_ms: u64, act: Act) {
+        self.events.push(Event { at_ms, act });
+    }
+
+    fn claim(&mut self, member: usize, at: u64, until: u64) -> bool {
+        let mut busy = self.busy.iter();
+        let meets =
+            |(other, from, to): &(usize, u64, u64)| *other == member && at <= *to && *from <= until;
+        let is_free = !busy.any(meets);
+        if is_free {
+            self.busy.push((member, at, until));
+        }
+        is_free
+    }
+
+    fn stop(&mut self, member: usize, at: u64, until: u64, act: Act) {
+        // A daemon that is asked to stop has its own time for that.
+        let until = until + 600;
+        if self.claim(member, at, until) {
+            self.event(at, act);
+            self.event(until, Act::Restart(member));
+        }
+    }
+
+    fn pause(&mut self, member: usize, at: u64, until: u64) {
+        let until = until.min(at + LONGEST_PAUSE_MS);
+        if self.claim(member, at, until) {
+            self.event(at, Act::Pause(member));
+            self.event(until, Act::Resume(member));
+        }
+    }
+
+    fn path(&mut self, member: usize, at: u64, until: u64, faults: impl FnOnce(&mut Rng) -> Path) {
+        let faults = faults(&mut self.rng);
+        self.event(at, Act::Path(member, faults));
+        self.event(until, Act::Path(member, Path::default()));
+    }
+
+    fn platform(&mut self, at: u64, until: u64) {
+        let delay_ms = self.rng.u64(..800);
+        let faults = Faults {
+            config: fault::Config {
+                down: self.rng.bool(),
+                delay_ms,
+                stale_version: self.rng.bool().then_some(1),
+            },
+            instances: fault::List {
+                down: self.rng.bool(),
+                delay_ms,
+                lag_ms: self.rng.u64(..2_000),
+            },
+        };
+        self.event(at, Act::Platform(faults));
+        self.event(until, Act::Platform(Faults::default()));
+    }
+
+    fn domain(&mut self, at: u64, until: u64) {
+        let index = self.rng.usize(..self.domains.len());
+        let domain = self.domains[index].clone();
+        self.event(at, Act::DomainOut(domain.clone()));
+        self.event(until, Act::DomainIn(domain));
+    }
+
+    fn noise(&mut self, at: u64, until: u64) {
+        let noise = |factor| Change {
+            noise: Some(Noise {
+                factor,
+                interval_ms: 150.0,
+                duration_ms: 30.0,
+            }),
+            ..Change::default()
+        };
+        let factor = 2.0 + self.rng.f64() * 6.0;
+        self.event(at, Act::Targets(noise(factor)));
+        self.event(until, Act::Targets(noise(1.0)));
+    }
+
+    fn cool(&mut self, member: usize, at: u64) {
+        let change = Change {
+            cool: Some(true),
+            ..Change::default()
+        };
+        self.event(at, Act::Target(member, change));
+    }
+}
+
+fn crash(refuse_ms: u64) -> Change {
+    Change {
+        crash: Some(Crash {
+            refuse_ms: Some(refuse_ms),
+        }),
+        ..Change::default()
+    }
+}
+
+fn straggle(for_ms: u64) -> Change {
+    Change {
+        straggle: Some(Straggle {
+            factor: 5.0,
+            for_ms,
+        }),
+        ..Change::default()
+    }
+}
+
+/// Requests that crash each target that runs them.
+fn poisoned(deployment: &Deployment) -> Option<Extra> {
+    let streams = Stream::of(deployment, 1.0, 0.0);
+    let stream = streams.into_iter().find(|stream| stream.idempotent)?;
+    Some(Extra {
+        service: stream.service,
+        kind: stream.kind,
+        rate: POISON_RATE,
+        keyed: 0.0,
+        body_bytes: 0,
+        headers: BTreeMap::from([(Arc::from(POISON), Arc::from("1"))]),
+    })
+}
+
+fn pick<'a, T>(rng: &mut Rng, choices: &'a [T]) -> &'a T {
+    &choices[rng.usize(..choices.len())]
+}
--- a/crates/basilbay_load/tests/account.rs
+++ b/crates/basilbay_load/tests/account.rs
@@ -221,6 +221,23 @@
     assert_eq!(account.latest_after_leaving_ms, Some(3000.0));
 }
 
+/// Guards against a target that counts as leaving after a daemon started beside it again.
+#[test]
+fn back_in_service() {
+    let mut case = Case::new();
+    case.event(10 * SECOND, Fact::Leaving(Arc::from("t1")));
+    let restarted = Fact::Restarted {
+        old: Arc::from("t1"),
+        new: Arc::from("t1-1"),
+        target: Arc::from("t1"),
+    };
+    case.event(13 * SECOND, restarted);
+    for at in [11, 14, 20] {
+        case.run("x", at * SECOND);
+    }
+    assert_eq!(case.account().breaches.leaving.count, 0);
+}
+
 /// Guards against limits that the targets saw broken and the account leaves out.
 #[test]
 fn target_limits() {
--- /dev/null
+++ b/crates/basilbay_load/tests/soak.rs
@@ -0,0 +1,71 @@
+//! The soak: what seeds draw, and a short run of real processes.
+
+use basilbay_load::scenario::act::Act;
+use basilbay_load::soak;
+
+const SECONDS: f64 = 10.0;
+
+/// Seed of the short run: a low load, and faults of the network, the platform and the processes.
+const SHORT: u64 = 1;
+
+/// Guards against failures that cannot be played again.
+#[test]
+fn same_seed() {
+    let text = |seed| serde_json::to_string(&soak::draw(seed, SECONDS).expect("works"));
+    assert_eq!(text(7).expect("works"), text(7).expect("works"));
+    assert_ne!(text(7).expect("works"), text(8).expect("works"));
+}
+
+/// Guards against daemons that stay stopped, and faults that last into the time of recovery.
+#[test]
+fn faults_end() {
+    for seed in 0..200 {
+        let scenario = soak::draw(seed, SECONDS).expect("works");
+        let last_ms = scenario.events.iter().map(|event| event.at_ms).max();
+        assert!(last_ms.is_none_or(|last| last <= 5_000), "seed {seed}");
+        let count = |is: fn(&Act) -> bool| {
+            let events = scenario.events.iter();
+            events.filter(|event| is(&event.act)).count()
+        };
+        let stopped = count(|act| matches!(act, Act::Kill(_) | Act::Terminate(_)));
+        assert_eq!(stopped, count(|act| matches!(act, Act::Restart(_))));
+        let paused = count(|act| matches!(act, Act::Pause(_)));
+        assert_eq!(paused, count(|act| matches!(act, Act::Resume(_))));
+    }
+}
+
+/// Guards against a kind of fault that no seed draws any more.
+#[test]
+fn every_kind() {
+    let mut kinds: Vec<String> = (0..100)
+        .flat_map(|seed| soak::draw(seed, SECONDS).expect("works").events)
+        .map(|event| {
+            let value = serde_json::to_value(&event.act).expect("works");
+            let name = value.as_object().and_then(|act| act.keys().next().cloned());
+            name.expect("an act with its name")
+        })
+        .collect();
+    kinds.sort();
+    kinds.dedup();
+    let expected = [
+        "domain-in",
+        "domain-out",
+        "kill",
+        "path",
+        "pause",
+        "platform",
+        "restart",
+        "resume",
+        "target",
+        "targets",
+        "terminate",
+    ];
+    assert_eq!(kinds, expected);
+}
+
+/// Guards against guarantees that break under random faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_run() {
+    let outcome = soak::play(SHORT, SECONDS).await.expect("works");
+    assert!(outcome.holds(), "{outcome}");
+}
