Read settings again when their file changes without a signal

The daemon now looks at the file's time and length once a second and treats a change like the signal: checked as a whole, findings logged (106) and the former settings kept.

--- a/crates/basilbay_daemon/src/program.rs
+++ b/crates/basilbay_daemon/src/program.rs
@@ -57,7 +57,7 @@
         let path = path.clone();
         move || load(program, &path).map(|(settings, _)| settings)
     };
-    match run(settings, making, read) {
+    match run(settings, making, path.clone(), read) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{}: {error:#}", program.name);
@@ -73,7 +73,7 @@
         .after_help(
             "Exit codes: 0 stopped as asked, 1 failed, 2 the settings have findings.\n\
              SIGTERM and SIGINT stop the daemon; running requests finish first.\n\
-             SIGHUP reads the settings again.",
+             SIGHUP reads the settings again, and so does a change of the file.",
         )
         .arg(
             Arg::new("settings")
@@ -99,6 +99,7 @@
 fn run(
     settings: Settings,
     making: Making,
+    path: PathBuf,
     read: impl Fn() -> anyhow::Result<Settings> + Send + Sync + 'static,
 ) -> anyhow::Result<()> {
     let log = log::start(
@@ -118,7 +119,7 @@
     runtime.block_on(async {
         let daemon = making.await?;
         daemon.log_dropped.get_or_init(|| log.dropped());
-        tokio::spawn(reload::on_hangup(daemon.clone(), read));
+        tokio::spawn(reload::follow(daemon.clone(), path, read));
         daemon.run().await
     })
 }
--- a/crates/basilbay_daemon/src/reload.rs
+++ b/crates/basilbay_daemon/src/reload.rs
@@ -1,14 +1,17 @@
 //! Settings that change while the daemon runs.
 //!
-//! A hangup signal makes the daemon read its file again. A file with findings changes nothing. Most
-//! settings are bound to sockets or to what the daemon stands beside, and take a restart; the log
-//! names those that differ.
+//! A hangup signal makes the daemon read its file again, and so does a file that changed without
+//! one. A file with findings changes nothing. Most settings are bound to sockets or to what the
+//! daemon stands beside, and take a restart; the log names those that differ.
 
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::{Duration, SystemTime};
 
 use basilbay_events::catalogue;
 use basilbay_events::emit;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::MissedTickBehavior;
 
 use crate::daemon::Daemon;
 use crate::settings::Settings;
@@ -16,8 +19,15 @@
 /// Result of reading the settings again.
 pub type Result<T> = anyhow::Result<T>;
 
-/// Reads the settings again at each hangup signal, for as long as the daemon runs.
-pub async fn on_hangup(daemon: Arc<Daemon>, read: impl Fn() -> Result<Settings>) {
+/// Time between two looks at the file; one look reads no content.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// What tells one content of a file from another: its time of change and its length.
+type Stamp = Option<(SystemTime, u64)>;
+
+/// Reads the settings again at each hangup signal and when the file changes, for as long as the
+/// daemon runs.
+pub async fn follow(daemon: Arc<Daemon>, path: PathBuf, read: impl Fn() -> Result<Settings>) {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(error) => {
@@ -25,7 +35,19 @@
             return;
         }
     };
-    while hangup.recv().await.is_some() {
+    let mut looks = tokio::time::interval(LOOK);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut known = stamp(&path);
+    loop {
+        let is_asked = tokio::select! {
+            received = hangup.recv() => received.is_some(),
+            _ = looks.tick() => false,
+        };
+        let found = stamp(&path);
+        if !is_asked && found == known {
+            continue;
+        }
+        known = found;
         match read() {
             Ok(settings) => apply(&daemon, &settings),
             Err(error) => {
@@ -35,6 +57,12 @@
     }
 }
 
+/// A file that cannot be looked at has no stamp; reading it tells why.
+fn stamp(path: &Path) -> Stamp {
+    let metadata = std::fs::metadata(path).ok()?;
+    Some((metadata.modified().ok()?, metadata.len()))
+}
+
 fn apply(daemon: &Daemon, settings: &Settings) {
     {
         let mut node = daemon.control.node();
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -64,7 +64,7 @@
         "Restart the daemon if something is named.";
     RELOAD_REFUSED 106 Error "reload-refused"
         "The settings file has findings or cannot be read; the former settings stay in force."
-        "Correct the file and send the signal again.";
+        "Correct the file; it is read again when it changes.";
     CONFIG_ACCEPTED 200 Info "config-accepted"
         "A configuration version is in force." "Nothing.";
     CONFIG_REJECTED 201 Error "config-rejected"
--- a/crates/basilbay_routing/src/policy/balanced.rs
+++ b/crates/basilbay_routing/src/policy/balanced.rs
@@ -1,8 +1,8 @@
 //! The default policy: the cheapest of a few sampled targets.
 //!
 //! The cost of a target is the time that a request is expected to lose there: its wait for a slot,
-//! the slowness of a straggler, and the way to another failure domain. Three targets of the own
-//! domain and three of the others are compared, so that requests stay near while there is headroom
+//! the slowness of a straggler, and the way to another failure domain. Two targets of the own
+//! domain and two of the others are compared, so that requests stay near while there is headroom
 //! and spill over smoothly. Comparing a sample in place of all targets keeps daemons that share
 //! the same old figures from choosing the same target together.
 
@@ -14,7 +14,7 @@
 use crate::board::{Board, Target};
 
 /// Targets that are compared in each group.
-const CHOICES: usize = 3;
+const CHOICES: usize = 2;
 
 /// Expected wait at a target whose last slot was just taken, in usual service times.
 const FULL_WAIT: f64 = 0.5;
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Draws up to three members of a group and keeps the cheaper of them and `best`.
+    /// Draws up to two different members of a group and keeps the cheaper of them and `best`.
     fn compare(
         &mut self,
         board: &Board,
