--- a/crates/basilbay_load/src/soak.rs
+++ b/crates/basilbay_load/src/soak.rs
@@ -35,7 +35,7 @@
 const LEAD_MS: u64 = 500;
 
 /// Time after the last fault in which the fleet may still recover, in ms: a daemon that starts
-/// catches up within four seconds (section 4.7 of the design).
+/// catches up within four seconds.
 const RECOVERY_MS: u64 = 4_500;
 
 /// Time at the end that must be served as if nothing had happened, in ms.
@@ -114,7 +114,7 @@
     let name = *pick(&mut rng, &["caroni", "ozolini"]);
     let deployment = Deployment::named(name)?;
     let last_ms = ((seconds * 1000.0) as u64).saturating_sub(RECOVERY_MS + CALM_MS);
-    let mut faults = Faulty {
+    let mut drawn = Draw {
         members: deployment.staff.iter().map(|staff| staff.workers).sum(),
         domains: deployment.domains(),
         last_ms: last_ms.max(LEAD_MS + LONGEST_MS),
@@ -122,13 +122,13 @@
         busy: Vec::new(),
         rng,
     };
-    let count = faults.rng.usize(FAULTS);
+    let count = drawn.rng.usize(FAULTS);
     for _ in 0..count {
-        faults.add();
+        drawn.add();
     }
-    let has_poison = faults.rng.u8(..4) == 0;
-    let load = *pick(&mut faults.rng, &LOADS);
-    let keyed = *pick(&mut faults.rng, &[0.0, 0.5]);
+    let has_poison = drawn.rng.u8(..4) == 0;
+    let load = *pick(&mut drawn.rng, &LOADS);
+    let keyed = *pick(&mut drawn.rng, &[0.0, 0.5]);
     Ok(Scenario {
         name: Arc::from(format!("soak-{seed}")),
         about: Arc::from("Faults that a seed draws."),
@@ -140,8 +140,8 @@
         seconds,
         load,
         keyed,
-        body_bytes: *pick(&mut faults.rng, &[0, 0, 2_000, 100_000]),
-        http2: faults.rng.bool(),
+        body_bytes: *pick(&mut drawn.rng, &[0, 0, 2_000, 100_000]),
+        http2: drawn.rng.bool(),
         grace_ms: 2_000,
         steps: Vec::new(),
         extra: has_poison
@@ -149,7 +149,7 @@
             .flatten()
             .into_iter()
             .collect(),
-        events: faults.events,
+        events: drawn.events,
         limits: Limit::default(),
     })
 }
@@ -198,7 +198,7 @@
 }
 
 /// Faults that are drawn one after the other.
-struct Faulty {
+struct Draw {
     rng: Rng,
     members: usize,
     domains: Vec<DomainId>,
@@ -208,7 +208,7 @@
     busy: Vec<(usize, u64, u64)>,
 }
 
-impl Faulty {
+impl Draw {
     fn add(&mut self) {
         let at = self.rng.u64(LEAD_MS..self.last_ms);
         let length = self.rng.u64(100..LONGEST_MS);
