Count starts and looks over the last second in one place

Cause: the rate of cold targets and the bound on looks each kept a queue of times and dropped the old ones in a loop of their own, and the next start of a cold target was computed twice, by next_at and by wait. Both now use window::Window, and next_at follows from wait.

Ruled out: the token buckets of retries, pushes and log lines, which bound a mean rate and not each second. Behaviour stays; where a target turned cold after many starts, the gate is looked at when the next start is due and not before. Tests of admission passed before and after; window::bound_holds and events_leave are new.

--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -227,7 +227,7 @@
     }
 
     /// When [`Gate::tick`] next has something to do.
-    pub fn next_deadline(&mut self, now: Instant) -> Option<Instant> {
+    pub fn next_deadline(&self, now: Instant) -> Option<Instant> {
         let queue = self.queue.next_deadline(self.profile.recent())?;
         let restriction = self
             .restriction
--- a/crates/basilbay_admission/src/lib.rs
+++ b/crates/basilbay_admission/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod ramp;
 pub mod request;
 pub mod spell;
+pub mod window;
--- a/crates/basilbay_admission/src/pace.rs
+++ b/crates/basilbay_admission/src/pace.rs
@@ -3,11 +3,12 @@
 //! A contract may state the rate that a target in cold start bears. Starts are counted while the
 //! target is warm too: one that turns cold unseen has had a second's worth already.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use basilbay_model::service::Contract;
 
+use crate::window::Window;
+
 /// Span over which starts are counted; the rate is stated for a second.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -24,7 +25,7 @@
     rate: u32,
     cold: Duration,
     cold_until: Option<Instant>,
-    starts: VecDeque<Instant>,
+    starts: Window,
     /// When the target was found; starts of an earlier daemon are assumed at that time.
     found: Instant,
 }
@@ -37,12 +38,12 @@
             rate: contract.cold_rate,
             cold: contract.cold,
             cold_until: Some(now + contract.cold),
-            starts: VecDeque::new(),
+            starts: Window::new(WINDOW),
             found: now,
         };
         if earlier {
             let used = contract.cold_rate.div_ceil(EARLIER_PART);
-            pace.starts.extend((0..used).map(|_| now));
+            (0..used).for_each(|_| pace.starts.note(now));
         }
         pace
     }
@@ -69,7 +70,7 @@
         let age = self.cold.saturating_sub(left);
         if age <= now.saturating_duration_since(self.found) + TOGETHER {
             // The target started when this daemon did, so no earlier one handed it anything.
-            self.starts.retain(|start| *start > self.found);
+            self.starts.forget(self.found);
         }
     }
 
@@ -93,41 +94,30 @@
         let (rounds, ahead) = (ahead / rate, ahead % rate);
         // As many start in each window as in the one before it.
         let earlier = (self.starts.len() + ahead).checked_sub(rate);
-        let free_at = earlier.map_or(now, |index| self.starts[index] + WINDOW);
+        let free_at = earlier
+            .and_then(|place| self.starts.leaves_at(place))
+            .unwrap_or(now);
         let start_at = free_at + WINDOW * u32::try_from(rounds).unwrap_or(u32::MAX);
         start_at.min(cold_until).saturating_duration_since(now)
     }
 
     /// Whether a request may start now.
     pub fn admits(&mut self, now: Instant) -> bool {
-        self.review(now);
-        !self.is_cold() || self.starts.len() < self.rate as usize
+        self.cold_until = self.cold_until.filter(|until| now < *until);
+        self.starts.review(now);
+        self.left().is_none_or(|left| left > 0)
     }
 
     /// When the next request may start, if none may now.
-    pub fn next_at(&mut self, now: Instant) -> Option<Instant> {
-        if self.admits(now) {
-            return None;
-        }
-        let passed = self.starts.front().map(|first| *first + WINDOW);
-        passed.into_iter().chain(self.cold_until).min()
+    pub fn next_at(&self, now: Instant) -> Option<Instant> {
+        let wait = self.wait(0, now);
+        (!wait.is_zero()).then(|| now + wait)
     }
 
     /// Notes a start.
     pub fn start(&mut self, now: Instant) {
         if self.is_set() {
-            self.review(now);
-            self.starts.push_back(now);
-        }
-    }
-
-    fn review(&mut self, now: Instant) {
-        self.cold_until = self.cold_until.filter(|until| now < *until);
-        while let Some(first) = self.starts.front() {
-            if now.saturating_duration_since(*first) < WINDOW {
-                break;
-            }
-            self.starts.pop_front();
+            self.starts.note(now);
         }
     }
 }
--- /dev/null
+++ b/crates/basilbay_admission/src/window.rs
@@ -0,0 +1,67 @@
+//! Events of the time just past.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// When events came, over a span that ends now.
+#[derive(Clone, Debug)]
+pub struct Window {
+    span: Duration,
+    times: VecDeque<Instant>,
+}
+
+impl Window {
+    /// An empty window.
+    pub fn new(span: Duration) -> Self {
+        Self {
+            span,
+            times: VecDeque::new(),
+        }
+    }
+
+    /// Number of events as of the last review.
+    pub fn len(&self) -> usize {
+        self.times.len()
+    }
+
+    /// Whether there are no events as of the last review.
+    pub fn is_empty(&self) -> bool {
+        self.times.is_empty()
+    }
+
+    /// When the event at a place leaves the window; the oldest is at 0.
+    pub fn leaves_at(&self, place: usize) -> Option<Instant> {
+        self.times.get(place).map(|time| *time + self.span)
+    }
+
+    /// Drops the events that have left the window.
+    pub fn review(&mut self, now: Instant) {
+        while let Some(first) = self.times.front() {
+            if now.saturating_duration_since(*first) < self.span {
+                break;
+            }
+            self.times.pop_front();
+        }
+    }
+
+    /// Notes an event.
+    pub fn note(&mut self, now: Instant) {
+        self.review(now);
+        self.times.push_back(now);
+    }
+
+    /// Notes an event unless there are `most` in the window already; whether it was noted.
+    pub fn take(&mut self, most: usize, now: Instant) -> bool {
+        self.review(now);
+        let fits = self.times.len() < most;
+        if fits {
+            self.times.push_back(now);
+        }
+        fits
+    }
+
+    /// Drops the events up to a time.
+    pub fn forget(&mut self, until: Instant) {
+        self.times.retain(|time| *time > until);
+    }
+}
--- /dev/null
+++ b/crates/basilbay_admission/tests/window.rs
@@ -0,0 +1,46 @@
+//! The window over the time just past.
+
+use std::time::{Duration, Instant};
+
+use basilbay_admission::window::Window;
+
+const SPAN: Duration = Duration::from_secs(1);
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Guards against events that stay in the window for longer than its span, or leave it early.
+#[test]
+fn events_leave() {
+    let now = Instant::now();
+    let mut window = Window::new(SPAN);
+    window.note(now);
+    window.note(now + millis(400));
+    assert_eq!(window.leaves_at(0), Some(now + SPAN));
+    assert_eq!(window.leaves_at(2), None);
+    window.review(now + millis(999));
+    assert_eq!(window.len(), 2);
+    window.review(now + SPAN);
+    assert_eq!(window.leaves_at(0), Some(now + millis(1400)));
+    window.forget(now + millis(400));
+    assert!(window.is_empty());
+}
+
+/// Guards against more events in some span than the bound allows.
+#[test]
+fn bound_holds() {
+    let now = Instant::now();
+    let mut window = Window::new(SPAN);
+    let taken: Vec<u64> = (0..300)
+        .map(|step| 10 * step)
+        .filter(|at| window.take(5, now + millis(*at)))
+        .collect();
+    assert_eq!(taken.len(), 15);
+    for first in &taken {
+        let within = taken
+            .iter()
+            .filter(|at| (*first..first + 1000).contains(at));
+        assert!(within.count() <= 5);
+    }
+}
--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -1,6 +1,5 @@
 //! Watches the own target: whether it accepts connections, and what its load endpoint says.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -13,6 +12,7 @@
 
 use basilbay_admission::gate::{Closed, Start};
 use basilbay_admission::probe::{Budget, Report};
+use basilbay_admission::window::Window;
 use basilbay_events::catalogue;
 use basilbay_events::emit;
 
@@ -202,10 +202,10 @@
 
 /// Looks at the target whenever the gate asks for it, for as long as the daemon runs.
 pub async fn look(daemon: Arc<Daemon>) {
-    let mut looks = Looks::default();
+    let mut looks = Window::new(Duration::from_secs(1));
     loop {
         daemon.admission.look_wanted().await;
-        let saw = looks.take(Instant::now()) && look_once(&daemon).await;
+        let saw = looks.take(MAX_LOOKS, Instant::now()) && look_once(&daemon).await;
         daemon.admission.looked(saw);
     }
 }
@@ -233,30 +233,6 @@
     }
 }
 
-/// Looks that were taken on behalf of requests.
-#[derive(Debug, Default)]
-struct Looks {
-    /// Looks of the last second.
-    recent: VecDeque<Instant>,
-}
-
-impl Looks {
-    /// Counts a look, unless there were enough in the last second.
-    fn take(&mut self, now: Instant) -> bool {
-        while let Some(first) = self.recent.front() {
-            if now.saturating_duration_since(*first) < Duration::from_secs(1) {
-                break;
-            }
-            self.recent.pop_front();
-        }
-        if self.recent.len() >= MAX_LOOKS {
-            return false;
-        }
-        self.recent.push_back(now);
-        true
-    }
-}
-
 /// Asks the load endpoint.
 async fn ask_load(daemon: &Daemon) -> Result<Report> {
     let (_, _, bytes) = probe(daemon, "/load").await?;
