Let the soak play a seed as scenarios are run

Cause: it prepared a fleet and drew the plan a second time, only to look at the streams; these now come with the trial. The account looks for the end of a domain's time out and of a target's leaving with one function. Ruled out: other copies of it; there are none.

--- a/crates/basilbay_load/src/account.rs
+++ b/crates/basilbay_load/src/account.rs
@@ -282,16 +282,20 @@
         .map(move |run| (run, Duration::from_micros(run.start_us - begin_us)))
 }
 
+/// When the first of these events comes that ends a state.
+fn ends_at(events: &[Event], ends: impl Fn(&Fact) -> bool) -> u64 {
+    let end = events.iter().find(|event| ends(&event.fact));
+    end.map_or(u64::MAX, |event| event.at_us)
+}
+
 fn count_out(evidence: &Evidence<'_>, breaches: &mut Breaches) -> Option<f64> {
     let mut latest = None;
     for (index, event) in evidence.events.iter().enumerate() {
         let Fact::DomainOut(domain) = &event.fact else {
             continue;
         };
-        let back = evidence.events[index..]
-            .iter()
-            .find(|event| event.fact == Fact::DomainIn(domain.clone()));
-        let end_us = back.map_or(u64::MAX, |event| event.at_us);
+        let is_back = |fact: &Fact| matches!(fact, Fact::DomainIn(back) if back == domain);
+        let end_us = ends_at(&evidence.events[index..], is_back);
         let concerns = |target: &InstanceId| {
             let domains = evidence.domains.iter();
             domains.clone().any(|(id, of)| id == target && of == domain)
@@ -308,18 +312,15 @@
 
 fn count_leaving(evidence: &Evidence<'_>, breaches: &mut Breaches) -> Option<f64> {
     let mut latest = None;
-    for event in evidence.events {
+    for (index, event) in evidence.events.iter().enumerate() {
         let Fact::Leaving(leaving) = &event.fact else {
             continue;
         };
         // A daemon that starts beside the target takes it into service again.
-        let returned = evidence.events.iter().find(|later| {
-            let is_back =
-                matches!(&later.fact, Fact::Restarted { target, .. } if target == leaving);
-            later.at_us >= event.at_us && is_back
-        });
-        let until = returned.map_or(u64::MAX, |returned| returned.at_us);
-        for (run, since) in after(evidence, event.at_us, until, |target| target == leaving) {
+        let is_back =
+            |fact: &Fact| matches!(fact, Fact::Restarted { target, .. } if target == leaving);
+        let end_us = ends_at(&evidence.events[index..], is_back);
+        for (run, since) in after(evidence, event.at_us, end_us, |target| target == leaving) {
             latest = latest.max(Some(since));
             if since > LEAVING_LIMIT {
                 breaches.leaving.add(|| run.request.to_string());
--- a/crates/basilbay_load/src/soak.rs
+++ b/crates/basilbay_load/src/soak.rs
@@ -19,7 +19,7 @@
 use crate::account::row::Class;
 use crate::account::{Breaches, classify};
 use crate::deployment::Deployment;
-use crate::plan::{Plan, Stream};
+use crate::plan::Stream;
 use crate::scenario::act::Act;
 use crate::scenario::verdict::{Check, Limit};
 use crate::scenario::{Event, Extra, Scenario};
@@ -157,13 +157,11 @@
 /// Plays a seed and checks what it brought.
 pub async fn play(seed: u64, seconds: f64) -> Result<Outcome> {
     let scenario = draw(seed, seconds)?;
-    let (mut fleet, mut crowd) = scenario.prepare(None).await?;
-    let plan = scenario.plan(&fleet.deployment, seed)?;
-    let (trial, verdict) = scenario.run_on(&mut fleet, &mut crowd, seed).await?;
+    let (trial, verdict) = scenario.run(None, seed).await?;
     let mut checks = verdict.checks;
     checks.push(Check::least(
         "answered once all is calm",
-        calm_part(&trial, &plan),
+        calm_part(&trial),
         CALM_ANSWERED,
     ));
     Ok(Outcome {
@@ -176,7 +174,7 @@
 
 /// Part of the requests of the calm time that was answered; those with a key may have to wait for
 /// a daemon that is old enough to own them.
-fn calm_part(trial: &Trial, plan: &Plan) -> f64 {
+fn calm_part(trial: &Trial) -> f64 {
     let last = trial.records.iter().map(|record| record.due_us).max();
     let from = last.unwrap_or(0).saturating_sub(CALM_MS * 1000);
     let calm = trial
@@ -185,7 +183,7 @@
         .filter(|record| record.due_us >= from && record.key.is_none());
     let (mut all, mut answered) = (0_u64, 0_u64);
     for record in calm {
-        let stream = &plan.streams[record.stream];
+        let stream = &trial.streams[record.stream];
         if stream.headers.is_empty() {
             all += 1;
             answered += u64::from(classify(record, stream) == Class::Answered);
--- a/crates/basilbay_load/src/trial.rs
+++ b/crates/basilbay_load/src/trial.rs
@@ -17,6 +17,8 @@
 /// What a trial brought.
 #[derive(Debug)]
 pub struct Trial {
+    /// Streams of the plan.
+    pub streams: Vec<Stream>,
     /// What callers were told.
     pub records: Vec<Record>,
     /// What the targets ran.
@@ -55,6 +57,7 @@
     let runs = fleet.runs().await?;
     let account = account(fleet, plan, &records, &runs).await?;
     Ok(Trial {
+        streams: plan.streams.clone(),
         records,
         runs,
         events: fleet.events.clone(),
