Remove a status that nothing reads and a bound that stood twice

Cause: Fault::status of the cut was unused, since the front states its own problems; the number of headers stood in cut and in server; Settings had two blocks one after the other; two tests of a start began with the same ten lines. Ruled out: record's two lines of a request, which look alike and state different fields. No change of behaviour; the tests concerned passed before and after.

--- a/crates/basilbay_daemon/src/cut.rs
+++ b/crates/basilbay_daemon/src/cut.rs
@@ -3,10 +3,7 @@
 //! Only the framing is read here: where the headers end and how long the body is. What cannot be
 //! told apart with certainty ends the connection, so that no request hides inside another one.
 
-use http::StatusCode;
-
-/// Headers of one request that are looked at; a longer section is refused.
-const MAX_HEADERS: usize = 256;
+use crate::server::READ_HEADERS;
 
 /// Longest line with the size of a chunk or with a trailer.
 const MAX_LINE: usize = 8 * 1024;
@@ -20,16 +17,6 @@
     HeadersTooLarge,
 }
 
-impl Fault {
-    /// Status of the answer.
-    pub fn status(self) -> StatusCode {
-        match self {
-            Self::Malformed => StatusCode::BAD_REQUEST,
-            Self::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-        }
-    }
-}
-
 /// Result of cutting.
 pub type Result<T> = std::result::Result<T, Fault>;
 
@@ -55,7 +42,7 @@
 
 /// Reads the head at the start of `bytes`; `None` while it is not complete.
 pub fn head(bytes: &[u8], most: usize) -> Result<Option<Head>> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut headers = [httparse::EMPTY_HEADER; READ_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     let length = match request.parse(bytes) {
         Ok(httparse::Status::Complete(length)) => length,
--- a/crates/basilbay_daemon/src/settings.rs
+++ b/crates/basilbay_daemon/src/settings.rs
@@ -137,9 +137,7 @@
             _ => Err(report),
         }
     }
-}
 
-impl Settings {
     /// Reads a parsed file; findings are added to the report.
     pub fn read(document: &Document, report: &mut Report) -> Option<Self> {
         document.check_sections(&SECTIONS, &[], report);
--- a/crates/basilbay_membership/tests/startup.rs
+++ b/crates/basilbay_membership/tests/startup.rs
@@ -38,10 +38,8 @@
     }
 }
 
-// Guards against work on an older version while the newer one that a peer announced is pulled.
-#[test]
-fn newer_awaited() {
-    let now = Instant::now();
+/// A node that has read both from the platform and heard no peer.
+fn informed(now: Instant) -> Node {
     let mut node = Node::new(identity(instance(0, 0, 3)), 1, now);
     let platform = Origin {
         source: Source::Platform,
@@ -49,6 +47,14 @@
     };
     node.roster(roster(1, &[0; 4], 3), &platform, now);
     node.config_text(&text(3, ""), &platform, now);
+    node
+}
+
+// Guards against work on an older version while the newer one that a peer announced is pulled.
+#[test]
+fn newer_awaited() {
+    let now = Instant::now();
+    let mut node = informed(now);
     let beat = Heartbeat {
         config_version: 5,
         ..Heartbeat::default()
@@ -74,13 +80,7 @@
 #[test]
 fn started_once() {
     let now = Instant::now();
-    let mut node = Node::new(identity(instance(0, 0, 3)), 1, now);
-    let platform = Origin {
-        source: Source::Platform,
-        ticket: 0,
-    };
-    node.roster(roster(1, &[0; 4], 3), &platform, now);
-    node.config_text(&text(3, ""), &platform, now);
+    let mut node = informed(now);
     let beat = |roster_version| Heartbeat {
         config_version: 3,
         roster_version,
