--- a/crates/basilbay_daemon/src/attempt.rs
+++ b/crates/basilbay_daemon/src/attempt.rs
@@ -69,7 +69,7 @@
         attempts: &mut Attempts,
         payload: &mut Payload,
     ) -> Completion {
-        let may_hedge = attempts.idempotent && payload.is_replayable();
+        let may_hedge = attempts.idempotent && payload.is_complete();
         let delay = self.shard.router().hedge_delay().filter(|_| may_hedge);
         let first_id = pick.id.clone();
         let suspect = attempts.may_have_run() || self.was_aborted();
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -99,7 +99,7 @@
     headers.remove(&daemon.dialect.expected_run);
     let caller = &daemon.settings.service;
     response::insert_header(headers, daemon.dialect.caller_service.as_str(), caller);
-    let payload = Payload::read_until(incoming, call.deadline)
+    let payload = Payload::read_until(incoming, view.config.limits.body_bytes, call.deadline)
         .await
         .map_err(|problem| call.spec.early_refusal(problem))?;
     call.fingerprint = suspect::fingerprint(
--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -220,7 +220,7 @@
         Ok(key) => key,
         Err(problem) => return Reply::Problem(problem),
     };
-    match Payload::read_until(incoming, call.deadline).await {
+    match Payload::read_until(incoming, u64::MAX, call.deadline).await {
         Ok(payload) => owner::handle(daemon, call, payload, key).await,
         // The store was not consulted, and an earlier request with the same key may have run.
         Err(problem) => Reply::Problem(problem.into_unknown()),
--- a/crates/basilbay_daemon/src/pool.rs
+++ b/crates/basilbay_daemon/src/pool.rs
@@ -73,7 +73,7 @@
         mut request: Request<Body>,
     ) -> std::result::Result<(Response<Incoming>, Connection), Failure> {
         loop {
-            let (mut connection, is_reused) = match self.take_idle().await {
+            let (mut connection, is_reused) = match self.take_idle() {
                 Some(connection) => (connection, true),
                 None => (self.connect().await.map_err(Failure::NotSent)?, false),
             };
@@ -90,8 +90,20 @@
     }
 
     /// Returns a connection to the pool after its response was read to the end.
-    pub fn release(&self, connection: Connection) {
-        self.lock().push(connection);
+    ///
+    /// A target may respond before it has read the whole request. Such a connection is idle only once
+    /// the rest of the request is written.
+    pub fn release(self: &Arc<Self>, mut connection: Connection) {
+        if connection.is_ready() || connection.is_closed() {
+            self.lock().push(connection);
+            return;
+        }
+        let pool = self.clone();
+        tokio::spawn(async move {
+            if connection.ready().await.is_ok() {
+                pool.lock().push(connection);
+            }
+        });
     }
 
     /// Drops all idle connections, after the target went down.
@@ -106,16 +118,18 @@
         while self.lock().len() < MIN_IDLE
             && self.open_count() < self.max_connections.load(Ordering::Relaxed)
         {
-            let connection = self.connect().await?;
-            self.release(connection);
+            let mut connection = self.connect().await?;
+            connection.ready().await?;
+            self.lock().push(connection);
         }
         Ok(())
     }
 
-    async fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.lock();
         loop {
-            let mut connection = self.lock().pop()?;
-            if connection.ready().await.is_ok() {
+            let connection = idle.pop()?;
+            if connection.is_ready() {
                 return Some(connection);
             }
         }
