Pull changes of the roster instead of whole rosters

Cause: every change of the instance list reached each daemon as a whole roster, 88 KB at 296 instances (300 B each), several times a second while instances are replaced. After a restart of all, each daemon's read had a version of its own, so the same list was pulled again and again.

A digest that does not match is followed by a pull of the whole roster. New rosters are announced to 4 peers, configurations to 8 as before.

--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -25,7 +25,6 @@
 use crate::body::{self, Body};
 use crate::daemon::Daemon;
 use crate::report;
-use crate::source::Update;
 use crate::traffic::Traffic;
 
 /// Result of a pull.
@@ -183,8 +182,8 @@
             let task = tokio::spawn(watch_config(daemon.clone(), pull, after));
             daemon.control.replace_watch(task.abort_handle());
         }
-        Action::PullRoster { pull, have } => {
-            tokio::spawn(pull_roster(daemon.clone(), pull, have));
+        Action::PullRoster { pull, have, digest } => {
+            tokio::spawn(pull_roster(daemon.clone(), pull, have, digest));
         }
         Action::ApplyConfig(config) => daemon.set_config(config),
         Action::ApplyRoster(roster) => daemon.set_roster(roster),
@@ -252,42 +251,57 @@
     }
 }
 
-async fn pull_roster(daemon: Arc<Daemon>, pull: Pull, have: Version) {
-    let pulled = match &pull.source {
-        Source::Platform => daemon.source.roster(have).await,
+async fn pull_roster(daemon: Arc<Daemon>, pull: Pull, have: Version, digest: Option<u64>) {
+    match &pull.source {
+        Source::Platform => read_roster(&daemon, &pull, have).await,
         Source::Peer { id, address } => {
-            let path = format!("{ROSTER_PATH}?have={have}");
+            let digest = digest.map_or(String::new(), |digest| format!("&digest={digest}"));
+            let path = format!("{ROSTER_PATH}?have={have}{digest}");
             let pulled = pull_from_peer::<RosterBody>(&daemon, id, *address, &path).await;
-            pulled.map(|body| Update {
-                config: None,
-                roster: Some(body.roster),
-            })
-        }
-    };
-    let now = Instant::now();
-    {
-        let mut node = daemon.control.node();
-        match pulled {
-            Ok(update) => {
-                if let Some(text) = update.config {
-                    node.receive_config_text(&text, &pull, now);
+            let now = Instant::now();
+            let mut node = daemon.control.node();
+            match pulled {
+                Ok(mut body) => {
+                    body.roster.sort();
+                    node.receive_roster_body(body, &pull, now);
+                }
+                Err(error) => {
+                    tracing::info!(
+                        peer = %id,
+                        error = format!("{error:#}"),
+                        "failed to pull the roster from a peer; the node will retry"
+                    );
+                    node.roster_pull_failed(&pull, now);
                 }
-                let mut roster = update.roster.unwrap_or_default();
-                roster.sort();
-                node.receive_roster(Arc::new(roster), &pull, now);
-            }
-            Err(error) => {
-                tracing::info!(
-                    error = format!("{error:#}"),
-                    "failed to read the instance list; the node will retry"
-                );
-                node.roster_pull_failed(&pull, now);
             }
         }
     }
     apply_actions(&daemon);
 }
 
+async fn read_roster(daemon: &Daemon, pull: &Pull, have: Version) {
+    let read = daemon.source.roster(have).await;
+    let now = Instant::now();
+    let mut node = daemon.control.node();
+    match read {
+        Ok(update) => {
+            if let Some(text) = update.config {
+                node.receive_config_text(&text, pull, now);
+            }
+            let mut roster = update.roster.unwrap_or_default();
+            roster.sort();
+            node.receive_roster(Arc::new(roster), pull, now);
+        }
+        Err(error) => {
+            tracing::info!(
+                error = format!("{error:#}"),
+                "failed to read the instance list; the node will retry"
+            );
+            node.roster_pull_failed(pull, now);
+        }
+    }
+}
+
 async fn pull_from_peer<T: serde::de::DeserializeOwned>(
     daemon: &Daemon,
     peer: &InstanceId,
@@ -323,22 +337,23 @@
 
 /// Responds to another daemon's pull; `None` if the path is not one of a pull.
 pub fn serve_pull(daemon: &Arc<Daemon>, path: &str, query: Option<&str>) -> Option<Response<Body>> {
-    let have = parse_have(query);
+    let have = parse_number(query, "have").unwrap_or(0);
+    let digest = parse_number(query, "digest");
     let now = Instant::now();
     let bytes = match path {
         CONFIG_PATH => frame::encode(&daemon.control.node().serve_config(have, now)),
-        ROSTER_PATH => frame::encode(&daemon.control.node().serve_roster(have, now)),
+        ROSTER_PATH => frame::encode(&daemon.control.node().serve_roster(have, digest, now)),
         _ => return None,
     };
     daemon.control.traffic.record_pull_served(bytes.len());
     Some(Response::new(body::full(bytes.into())))
 }
 
-/// Parses the version that the pulling daemon has; 0, which requests the full content, if the query
-/// does not state one.
-fn parse_have(query: Option<&str>) -> Version {
-    query
-        .and_then(|query| query.strip_prefix("have="))
-        .and_then(|have| have.parse().ok())
-        .unwrap_or(0)
+/// Parses a number of a query; `None` if the query does not state one, which requests the full
+/// content.
+fn parse_number(query: Option<&str>, name: &str) -> Option<u64> {
+    let parameters = query?.split('&');
+    let mut values = parameters.filter_map(|parameter| parameter.split_once('='));
+    let (_, value) = values.find(|(key, _)| *key == name)?;
+    value.parse().ok()
 }
--- a/crates/basilbay_membership/src/action.rs
+++ b/crates/basilbay_membership/src/action.rs
@@ -69,8 +69,10 @@
     PullRoster {
         /// The pull and its source.
         pull: Pull,
-        /// Active version; 0 if there is none or the full text is needed.
+        /// Active version; 0 if there is none or all instances are needed.
         have: Version,
+        /// Digest of the active instances; `None` if there are none or all instances are needed.
+        digest: Option<u64>,
     },
     /// Activate a configuration.
     ApplyConfig(Arc<Config>),
--- a/crates/basilbay_membership/src/gossip.rs
+++ b/crates/basilbay_membership/src/gossip.rs
@@ -1,8 +1,8 @@
 //! Gossip: selection of the peers to notify, and the rate limit of datagrams.
 //!
 //! Each round sends a heartbeat to one instance of the same service, one of the same failure domain
-//! and two of all instances. A node that accepts a new version also notifies [`EAGER_FANOUT`]
-//! random peers once; the other peers learn the version from heartbeats of later rounds.
+//! and two of all instances. A node that accepts a new version also notifies [`EAGER_FANOUT`] or
+//! [`ROSTER_FANOUT`] random peers once; the other peers learn the version from heartbeats of later rounds.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,9 +14,13 @@
 /// Interval between two rounds of heartbeats.
 pub const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Number of peers that are notified immediately of a new version.
+/// Number of peers that are notified immediately of a new configuration.
 pub const EAGER_FANOUT: usize = 8;
 
+/// Number of peers that are notified immediately of a new roster; fewer than of a configuration,
+/// since rosters change several times a second in a large fleet.
+pub const ROSTER_FANOUT: usize = 4;
+
 /// Sustained rate limit of gossip. 16 heartbeats of about 200 bytes per second need 3.2 KB/s.
 pub const RATE_BYTES_PER_S: u32 = 4000;
 
@@ -81,9 +85,9 @@
     }
 
     /// Selects the destinations of an eager notification.
-    pub fn select_eager(&self, random: &mut Rng) -> Vec<SocketAddr> {
+    pub fn select_eager(&self, fanout: usize, random: &mut Rng) -> Vec<SocketAddr> {
         let mut selected = Vec::new();
-        for _ in 0..EAGER_FANOUT {
+        for _ in 0..fanout {
             add_random(&self.all, &mut selected, random);
         }
         selected.iter().map(|index| self.address(*index)).collect()
--- a/crates/basilbay_membership/src/lib.rs
+++ b/crates/basilbay_membership/src/lib.rs
@@ -8,12 +8,14 @@
 //!
 //! [`view`] validates configurations and rosters and only lets versions increase. [`reader`]
 //! selects the few daemons of a failure domain that read the platform. [`gossip`] selects the peers
-//! to notify. [`pull`] limits pulls to one in flight per source and part, and [`history`] and
-//! [`diff`] answer pulls with line edits. [`pause`] detects that the process was paused, after
+//! to notify. [`pull`] limits pulls to one in flight per source and part. [`history`] and [`diff`]
+//! answer pulls of the configuration with line edits, and [`change`] answers pulls of the roster
+//! with the instances that changed. [`pause`] detects that the process was paused, after
 //! which the view must be confirmed again. [`readiness`] is the result: whether new requests may be
 //! accepted, and if not, why.
 
 pub mod action;
+pub mod change;
 pub mod diff;
 pub mod event;
 pub mod gossip;
--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -459,9 +459,9 @@
     }
 
     /// Notifies random peers of a new version immediately.
-    fn announce(&mut self, now: Instant) {
+    fn announce(&mut self, fanout: usize, now: Instant) {
         self.announced_at = now;
-        let to = self.gossip_peers.select_eager(&mut self.random);
+        let to = self.gossip_peers.select_eager(fanout, &mut self.random);
         self.send_heartbeats(&to, false, 0, now);
     }
 
--- a/crates/basilbay_membership/src/node/config.rs
+++ b/crates/basilbay_membership/src/node/config.rs
@@ -13,6 +13,7 @@
 use super::Node;
 use crate::action::{Action, Pull, Source};
 use crate::event::{Event, Part};
+use crate::gossip::EAGER_FANOUT;
 use crate::view::{Verdict, digest_prefix};
 
 impl Node {
@@ -201,7 +202,7 @@
             source: pull.source.clone(),
         });
         self.push_action(Action::ApplyConfig(config));
-        self.announce(now);
+        self.announce(EAGER_FANOUT, now);
     }
 
     /// Records that the platform has the active configuration.
--- a/crates/basilbay_membership/src/node/roster.rs
+++ b/crates/basilbay_membership/src/node/roster.rs
@@ -12,7 +12,7 @@
 use super::Node;
 use crate::action::{Action, Pull, Source};
 use crate::event::{Event, Part};
-use crate::gossip::Peers;
+use crate::gossip::{Peers, ROSTER_FANOUT};
 use crate::reader::{self, MAX_JITTER};
 use crate::view::Verdict;
 
@@ -39,6 +39,33 @@
         self.pull_newer(now);
     }
 
+    /// Handles the response of a peer to a roster pull.
+    pub fn receive_roster_body(&mut self, body: RosterBody, pull: &Pull, now: Instant) {
+        let Some(changes) = body.changes else {
+            return self.receive_roster(Arc::new(body.roster), pull, now);
+        };
+        let version = body.roster.version;
+        if let Some(instances) = self.roster_view.apply_changes(&changes) {
+            let roster = Roster {
+                instances,
+                ..body.roster
+            };
+            return self.receive_roster(Arc::new(roster), pull, now);
+        }
+        self.observe(now);
+        self.record_contact(&pull.source, now);
+        self.complete_roster_pull(pull);
+        // If another version became active meanwhile, the next pull states it.
+        if changes.base == self.roster_view.version() && version > changes.base {
+            self.push_event(Event::EditsMismatch {
+                version,
+                source: pull.source.clone(),
+            });
+            return self.pull_roster(pull.source.clone(), 0, now);
+        }
+        self.pull_newer(now);
+    }
+
     /// Handles the failure of a pull.
     pub fn roster_pull_failed(&mut self, pull: &Pull, now: Instant) {
         self.observe(now);
@@ -47,19 +74,27 @@
         self.pull_newer(now);
     }
 
-    /// Answers a pull of a peer; without instances if the peer has this version already.
-    pub fn serve_roster(&mut self, have: Version, now: Instant) -> RosterBody {
+    /// Answers a pull of a peer: with changes if they are known, in full otherwise, and without
+    /// either if the peer has this version already. `digest` is that of the peer's instances, if it
+    /// states one.
+    pub fn serve_roster(&mut self, have: Version, digest: Option<u64>, now: Instant) -> RosterBody {
         self.observe(now);
         let may_confirm = self.readiness(now).is_ready();
         let mut body = RosterBody {
             format: FORMAT_VERSION,
             roster: Roster::default(),
+            changes: None,
         };
         let Some(current) = self.roster_view.roster() else {
             return body;
         };
         if have < current.version {
-            body.roster = Roster::clone(current);
+            body.changes = digest.and_then(|digest| self.roster_view.changes_since(have, digest));
+            if body.changes.is_some() {
+                body.roster.version = current.version;
+            } else {
+                body.roster = Roster::clone(current);
+            }
         } else if may_confirm {
             body.roster.version = current.version;
         }
@@ -169,7 +204,7 @@
             source: pull.source.clone(),
         });
         self.push_action(Action::ApplyRoster(roster));
-        self.announce(now);
+        self.announce(ROSTER_FANOUT, now);
     }
 
     fn reject_roster(&mut self, pull: &Pull, now: Instant) {
--- a/crates/basilbay_membership/src/node/tick.rs
+++ b/crates/basilbay_membership/src/node/tick.rs
@@ -92,7 +92,7 @@
         }
     }
 
-    fn pull_roster(&mut self, source: Source, have: Version, now: Instant) {
+    pub(super) fn pull_roster(&mut self, source: Source, have: Version, now: Instant) {
         let from_platform = source == Source::Platform;
         let limit = if from_platform {
             PLATFORM_TIMEOUT
@@ -106,7 +106,8 @@
         } else {
             self.peers.roster.in_flight = Some(in_flight);
         }
-        self.push_action(Action::PullRoster { pull, have });
+        let digest = self.roster_view.digest().filter(|_| have > 0);
+        self.push_action(Action::PullRoster { pull, have, digest });
     }
 
     /// Treats pulls that have timed out as failed.
--- a/crates/basilbay_membership/src/view.rs
+++ b/crates/basilbay_membership/src/view.rs
@@ -11,10 +11,11 @@
 use basilbay_model::finding::Report;
 use basilbay_model::id::{Digest, Version};
 use basilbay_model::ini::Document;
-use basilbay_model::roster::{Roster, Timestamp};
-use basilbay_wire::control::Edit;
+use basilbay_model::roster::{Instance, Roster, Timestamp};
+use basilbay_wire::control::{Changes, Edit};
 use sha2::{Digest as _, Sha256};
 
+use crate::change::{self, Log};
 use crate::diff;
 use crate::history::History;
 
@@ -166,7 +167,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct RosterView {
     roster: Option<Arc<Roster>>,
+    /// Digest of the active instances; 0 without a roster.
+    digest: u64,
     as_of_ms: Timestamp,
+    log: Log,
 }
 
 impl RosterView {
@@ -180,6 +184,36 @@
         self.roster.as_ref().map_or(0, |roster| roster.version)
     }
 
+    /// Digest of the active instances; `None` before the first roster.
+    pub fn digest(&self) -> Option<u64> {
+        self.roster.as_ref().map(|_| self.digest)
+    }
+
+    /// Changes from version `have`, whose instances have this digest, to the active version; `None`
+    /// if all instances are needed.
+    pub fn changes_since(&self, have: Version, digest: u64) -> Option<Changes> {
+        let roster = self.roster.as_ref()?;
+        if digest == self.digest {
+            return Some(Changes {
+                base: have,
+                updated: Vec::new(),
+                removed: Vec::new(),
+                digest,
+            });
+        }
+        self.log.since(have, roster, self.digest)
+    }
+
+    /// Applies changes to the active instances; `None` if they do not apply to the active version
+    /// or the result does not have the stated digest.
+    pub fn apply_changes(&self, changes: &Changes) -> Option<Vec<Instance>> {
+        let roster = self.roster.as_ref()?;
+        if roster.version != changes.base {
+            return None;
+        }
+        change::apply(&roster.instances, changes)
+    }
+
     /// Latest time at which the instance list is known to have been at the active version; 0
     /// without a roster.
     pub fn as_of_ms(&self) -> Timestamp {
@@ -192,8 +226,11 @@
     pub fn offer(&mut self, roster: Arc<Roster>) -> Verdict {
         let current = self.roster.as_ref();
         let Some(current) = current.filter(|current| roster.version <= current.version) else {
+            let roster = sorted(roster);
+            self.log.record(self.roster.as_deref(), &roster);
             self.as_of_ms = roster.as_of_ms;
-            self.roster = Some(sorted(roster));
+            self.digest = change::digest(&roster.instances);
+            self.roster = Some(roster);
             return Verdict::Accepted;
         };
         if roster.version < current.version {
--- a/crates/basilbay_membership/tests/support/harness.rs
+++ b/crates/basilbay_membership/tests/support/harness.rs
@@ -16,7 +16,7 @@
 use basilbay_membership::reader::WATCH_TIMEOUT;
 use basilbay_model::id::Version;
 use basilbay_model::roster::Roster;
-use basilbay_wire::control::ConfigBody;
+use basilbay_wire::control::{ConfigBody, RosterBody};
 use basilbay_wire::datagram::{Body, Datagram};
 use basilbay_wire::frame;
 
@@ -25,6 +25,7 @@
     Body(ConfigBody),
     Unchanged,
     Roster(Arc<Roster>),
+    RosterBody(RosterBody),
     Failed,
 }
 
@@ -33,6 +34,7 @@
 struct Request {
     part: Part,
     have: Version,
+    digest: Option<u64>,
     waits_until: u64,
     sent_at: u64,
     pull: Pull,
@@ -56,6 +58,8 @@
     pub version: Version,
     pub activated_at: u64,
     pub bytes_total: usize,
+    /// Part of `bytes_total` that responses of the platform make up.
+    pub bytes_read: usize,
     pub bytes_gossiped: usize,
     pub datagrams: usize,
     pub events: Vec<Event>,
@@ -208,7 +212,8 @@
                 let response = match request.part {
                     Part::Config => Response::Body(node.serve_config(request.have, now)),
                     Part::Roster => {
-                        Response::Roster(node.serve_roster(request.have, now).roster.into())
+                        let body = node.serve_roster(request.have, request.digest, now);
+                        Response::RosterBody(body)
                     }
                 };
                 record.bytes_total += response_bytes(&response);
@@ -263,12 +268,17 @@
         let confirms =
             request.sent_at >= record.resumes_at && !matches!(response, Response::Failed);
         record.unconfirmed[request.part as usize] &= !confirms;
-        record.bytes_total += response_bytes(&response);
+        let bytes = response_bytes(&response);
+        record.bytes_total += bytes;
+        if request.pull.source == Source::Platform {
+            record.bytes_read += bytes;
+        }
         match (response, request.part) {
             (Response::Text(text), _) => node.receive_config_text(&text, &request.pull, now),
             (Response::Body(body), _) => node.receive_config_body(body, &request.pull, now),
             (Response::Unchanged, _) => node.receive_config_unchanged(&request.pull, now),
             (Response::Roster(roster), _) => node.receive_roster(roster, &request.pull, now),
+            (Response::RosterBody(body), _) => node.receive_roster_body(body, &request.pull, now),
             (Response::Failed, Part::Config) => node.config_pull_failed(&request.pull, now),
             (Response::Failed, Part::Roster) => node.roster_pull_failed(&request.pull, now),
         }
@@ -284,13 +294,13 @@
             match action {
                 Action::Send { to, body } => self.send(index, to, body),
                 Action::PullConfig { pull, have } => {
-                    self.send_request(index, Part::Config, have, 0, pull);
+                    self.send_request(index, Part::Config, (have, None), 0, pull);
                 }
-                Action::PullRoster { pull, have } => {
-                    self.send_request(index, Part::Roster, have, 0, pull);
+                Action::PullRoster { pull, have, digest } => {
+                    self.send_request(index, Part::Roster, (have, digest), 0, pull);
                 }
                 Action::WatchConfig { pull, after } => {
-                    self.send_request(index, Part::Config, after, self.now + wait, pull);
+                    self.send_request(index, Part::Config, (after, None), self.now + wait, pull);
                 }
                 Action::ApplyConfig(config) => {
                     assert!(
@@ -310,7 +320,7 @@
         &mut self,
         index: usize,
         part: Part,
-        have: Version,
+        (have, digest): (Version, Option<u64>),
         waits_until: u64,
         pull: Pull,
     ) {
@@ -319,6 +329,7 @@
         let request = Request {
             part,
             have,
+            digest,
             waits_until,
             sent_at,
             pull,
@@ -390,12 +401,19 @@
         Response::Body(body) => frame::encode(body).len(),
         // Estimated from the first instance: the sizes differ by a few bytes only, and encoding all
         // instances each time is slow.
-        Response::Roster(roster) => {
-            let first = roster.instances.first();
-            first.map_or(40, |first| {
-                40 + frame::encode(first).len() * roster.instances.len()
-            })
+        Response::Roster(roster) => instances_bytes(&roster.instances),
+        Response::RosterBody(body) => {
+            let updated = body.changes.as_ref().map_or(0, |changes| {
+                instances_bytes(&changes.updated) + 16 * changes.removed.len()
+            });
+            instances_bytes(&body.roster.instances) + updated
         }
         Response::Unchanged | Response::Failed => 0,
     }
 }
+
+fn instances_bytes(instances: &[basilbay_model::roster::Instance]) -> usize {
+    instances.first().map_or(40, |first| {
+        40 + frame::encode(first).len() * instances.len()
+    })
+}
--- a/crates/basilbay_wire/src/control.rs
+++ b/crates/basilbay_wire/src/control.rs
@@ -1,16 +1,18 @@
 //! Bodies of control requests between daemons, over HTTP on the peer port.
 //!
 //! A daemon pulls the configuration or the roster from a peer and states the version that it has;
-//! the response has a configuration as edits against that version if they are available.
+//! the response consists of changes to that version if they are available.
 
-use basilbay_model::id::{Digest, Version};
-use basilbay_model::roster::Roster;
+use basilbay_model::id::{Digest, InstanceId, Version};
+use basilbay_model::roster::{Instance, Roster};
 use serde::{Deserialize, Serialize};
 
 /// Path that serves the configuration; `?have=N` states the version that the client has.
 pub const CONFIG_PATH: &str = "/basilbay/v1/config";
 
-/// Path that serves the roster; `?have=N` states the version that the client has.
+/// Path that serves the roster; `?have=N` states the version that the client has, and
+/// `?have=N&digest=D` also the digest of its instances, which allows a response with
+/// [`Changes`].
 pub const ROSTER_PATH: &str = "/basilbay/v1/roster";
 
 /// One line edit of a text: replaces `removed` lines at `line` with `added`.
@@ -51,11 +53,28 @@
     pub text: Text,
 }
 
+/// Changes that turn the instances of one roster into those of a newer one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Changes {
+    /// Version that the changes apply to.
+    pub base: Version,
+    /// Instances that were added or modified, sorted by id.
+    pub updated: Vec<Instance>,
+    /// Ids of instances that were removed, sorted.
+    pub removed: Vec<InstanceId>,
+    /// Digest of the resulting instances.
+    pub digest: u64,
+}
+
 /// Response to a roster pull.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RosterBody {
     /// Version of the message format.
     pub format: u16,
-    /// The roster; its version is 0 when the sender has none.
+    /// The roster; its version is 0 when the sender has none. Without instances if there are
+    /// `changes`, or if the receiver has this version.
     pub roster: Roster,
+    /// Changes to the version that the receiver has; `None` if the roster is complete.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub changes: Option<Changes>,
 }
