Keep late copies, endless bytes and stops away from callers

Change: the request id is checked before anything else of a response is believed, and required where all targets echo it. A streamed body ends at the deadline if the target sends nothing, 10 s later if the caller reads slowly. At a stop, the queue of the listener is served, and so are requests of which a byte has arrived; connections without one are closed unread. A response that breaks off ends with a reset, which callers that read to the end of the connection can tell from an end.

--- a/crates/basilbay_daemon/src/pipeline.rs
+++ b/crates/basilbay_daemon/src/pipeline.rs
@@ -48,6 +48,12 @@
 /// the caller could lose the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time limit for the rest of request headers that had arrived in part when the daemon stopped.
+const STOP_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Value of the request counter once a response has announced that the connection closes.
+const CLOSE_ANNOUNCED: u64 = u64::MAX;
+
 /// A request that hyper serves on an in-memory connection.
 struct Pending {
     /// Side of the in-memory connection that yields the response.
@@ -78,10 +84,13 @@
     pending: VecDeque<Pending>,
     /// The request whose body is being received; `None` between requests.
     upload: Option<Upload>,
-    /// Number of requests started so far.
+    /// Number of requests started so far, or [`CLOSE_ANNOUNCED`].
     started: Arc<AtomicU64>,
     /// Whether the connection accepts no further requests and closes after the pending responses.
     is_closing: bool,
+    /// Number of bytes that had arrived when the daemon stopped and are not yet assigned to a
+    /// request: their requests are still served. `None` while the daemon runs.
+    arrived: Option<usize>,
     /// Framing error in the received bytes; it is reported after all pending responses.
     error: Option<framing::Error>,
 }
@@ -97,6 +106,7 @@
         upload: None,
         started: Arc::default(),
         is_closing: false,
+        arrived: None,
         error: None,
     };
     let mut response = BytesMut::with_capacity(READ_BYTES);
@@ -118,6 +128,9 @@
         let is_idle = connection.pending.is_empty() && connection.upload.is_none();
         let timeout = match (is_idle, connection.buffer.is_empty()) {
             (true, true) => limits.idle_timeout,
+            (true, false) if connection.arrived.is_some() => {
+                limits.header_timeout.min(STOP_TIMEOUT)
+            }
             (true, false) => limits.header_timeout,
             (false, _) => Duration::MAX,
         };
@@ -146,8 +159,12 @@
             }
             read = read_response(&mut connection.pending, &mut response) => {
                 match read {
-                    // After an incomplete response, the caller would take further bytes for its rest.
-                    Ok(0) if !connection.finish_response().await => return,
+                    Ok(0) if !connection.finish_response().await => {
+                        // A caller that reads until the end of the connection would take an orderly
+                        // close for the end of the response.
+                        reset(&reader);
+                        return;
+                    }
                     Ok(0) => {}
                     Ok(_) => {
                         if writer.write_all_buf(&mut response).await.is_err() {
@@ -157,7 +174,9 @@
                     Err(_) => return,
                 }
             }
-            () = daemon.stop.cancelled(), if !connection.is_closing => connection.is_closing = true,
+            () = daemon.stop.cancelled(), if connection.arrived.is_none() => {
+                connection.stop(&reader);
+            }
             () = tokio::time::sleep(timeout.min(limits.idle_timeout)), if is_idle => {
                 if !connection.buffer.is_empty() {
                     let waited = timeout.min(limits.idle_timeout);
@@ -168,7 +187,26 @@
             }
         }
     }
-    close(reader, writer).await;
+    let is_announced = connection.started.load(Ordering::Acquire) == CLOSE_ANNOUNCED;
+    if connection.arrived.is_some() && !is_announced {
+        close_unread(reader, writer).await;
+    } else {
+        close(reader, writer).await;
+    }
+}
+
+/// Takes the number of the next request; `None` once a response has announced the close.
+fn next_number(started: &AtomicU64) -> Option<u64> {
+    let next = |count: u64| (count != CLOSE_ANNOUNCED).then(|| count + 1);
+    let previous = started.fetch_update(Ordering::AcqRel, Ordering::Acquire, next);
+    previous.ok().map(|previous| previous + 1)
+}
+
+/// Announces the close with the response to a request; returns `false` if a later one has started.
+fn announce_close(started: &AtomicU64, number: u64) -> bool {
+    let exchanged =
+        started.compare_exchange(number, CLOSE_ANNOUNCED, Ordering::AcqRel, Ordering::Acquire);
+    exchanged.is_ok()
 }
 
 /// Reads a part of the next response to write; pends while no request is in flight.
@@ -197,6 +235,32 @@
     }
 }
 
+/// Closes a connection whose caller may just be sending another request. It stays unread, so that the
+/// caller knows that it was not run.
+async fn close_unread(
+    mut reader: tokio::net::tcp::OwnedReadHalf,
+    mut writer: tokio::net::tcp::OwnedWriteHalf,
+) {
+    if writer.shutdown().await.is_err() {
+        return;
+    }
+    let closed = async {
+        if matches!(reader.peek(&mut [0]).await, Ok(count) if count > 0) {
+            std::future::pending::<()>().await;
+        }
+    };
+    // Unread bytes reset the connection, and the caller must have the last response by then.
+    let _ = tokio::time::timeout(LINGER_TIMEOUT, closed).await;
+}
+
+/// Makes the connection end with a reset.
+fn reset(reader: &tokio::net::tcp::OwnedReadHalf) {
+    let stream: &TcpStream = reader.as_ref();
+    if let Err(error) = stream.set_zero_linger() {
+        tracing::debug!(%error, "cannot reset the connection of a caller");
+    }
+}
+
 /// Closes a connection in such a way that the caller receives everything that was written.
 async fn close(
     mut reader: tokio::net::tcp::OwnedReadHalf,
@@ -240,7 +304,11 @@
         loop {
             if let Some(upload) = &mut self.upload {
                 let taken = upload.decoder.decode(&self.buffer)?;
-                upload.unsent.unsplit(self.buffer.split_to(taken));
+                let bytes = self.buffer.split_to(taken);
+                upload.unsent.unsplit(bytes);
+                if let Some(arrived) = &mut self.arrived {
+                    *arrived = arrived.saturating_sub(taken);
+                }
                 if !upload.decoder.is_done() || !upload.unsent.is_empty() {
                     return Ok(());
                 }
@@ -249,6 +317,7 @@
                 }
                 self.upload = None;
             }
+            self.is_closing |= self.arrived == Some(0);
             if self.is_closing || self.pending.len() >= MAX_PIPELINED || self.buffer.is_empty() {
                 return Ok(());
             }
@@ -265,12 +334,23 @@
         }
     }
 
+    /// Accepts no requests but those of which a byte has arrived by now.
+    fn stop(&mut self, reader: &tokio::net::tcp::OwnedReadHalf) {
+        while self.buffer.len() < MAX_READ_AHEAD_BYTES
+            && matches!(reader.try_read_buf(&mut self.buffer), Ok(count) if count > 0)
+        {}
+        self.arrived = Some(self.buffer.len());
+    }
+
     /// Starts to serve a request whose head is at the start of the buffer.
     fn start(&mut self, head: framing::Head) {
+        let Some(number) = next_number(&self.started) else {
+            self.is_closing = true;
+            return;
+        };
         let (near, far) = tokio::io::duplex(PIPE_BYTES);
         let (response, writer) = tokio::io::split(near);
         let daemon = self.daemon.clone();
-        let number = self.started.fetch_add(1, Ordering::AcqRel) + 1;
         let started = self.started.clone();
         let caller = self.caller;
         let service = service_fn(move |request: Request<Incoming>| {
@@ -279,7 +359,7 @@
             async move {
                 let mut response = entry::serve(&daemon, request, caller).await;
                 // Only the last started request announces the close; other responses still follow.
-                if daemon.stop.is_cancelled() && started.load(Ordering::Acquire) == number {
+                if daemon.stop.is_cancelled() && announce_close(&started, number) {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
@@ -300,6 +380,9 @@
             }
         });
         let bytes = self.buffer.split_to(head.length);
+        if let Some(arrived) = &mut self.arrived {
+            *arrived = arrived.saturating_sub(head.length);
+        }
         self.is_closing |= head.closes;
         self.pending.push_back(Pending {
             response,
@@ -325,7 +408,7 @@
         let Some(pending) = self.pending.pop_front() else {
             return true;
         };
-        let closes = pending.closes;
+        let closes = pending.closes || self.started.load(Ordering::Acquire) == CLOSE_ANNOUNCED;
         let is_complete = pending.task.await.unwrap_or(false);
         // If the body of the finished request is incomplete, the start of the next one is unknown.
         if closes || (self.pending.is_empty() && self.upload.is_some()) {
--- a/crates/basilbay_daemon/src/server.rs
+++ b/crates/basilbay_daemon/src/server.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -36,6 +37,10 @@
 /// Time between two checks of a connection whose first bytes are an incomplete preface.
 const PREFACE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time after the stop for which a connection may still send its first request; callers connect when
+/// they have one, so it is on its way.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(100);
+
 /// First bytes of an HTTP/2 connection with prior knowledge.
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0";
 
@@ -72,6 +77,10 @@
             }
         }
     }
+    // Connections that the system has accepted may have sent a request already.
+    while let Some(Ok((stream, address))) = listener.accept().now_or_never() {
+        serve(&daemon, stream, side, address.ip(), &graceful);
+    }
     drop(listener);
     let deadline = daemon.drain_deadline();
     if tokio::time::timeout_at(deadline.into(), graceful.shutdown())
@@ -113,8 +122,7 @@
         tokio::spawn(async move {
             let is_http2 = tokio::select! {
                 is_http2 = begins_as_http2(&stream) => is_http2,
-                // No request has been received yet.
-                () = daemon.stop.cancelled() => return,
+                () = stopped_without_request(&daemon) => return,
             };
             if is_http2 {
                 let service =
@@ -142,6 +150,12 @@
     });
 }
 
+/// Waits until the daemon has stopped and a new connection had time to send its first request.
+async fn stopped_without_request(daemon: &Daemon) {
+    daemon.stop.cancelled().await;
+    tokio::time::sleep(FIRST_REQUEST_GRACE).await;
+}
+
 /// Whether a connection starts with the HTTP/2 preface.
 async fn begins_as_http2(stream: &TcpStream) -> bool {
     let mut first = [0; HTTP2_PREFACE.len()];
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -6,12 +6,13 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use tokio::time::Sleep;
 
 use basilbay_admission::gate::Completion;
 use basilbay_keys::suspect::Disposition;
@@ -26,6 +27,9 @@
 use crate::pool::{Connection, Failure, Pool};
 use crate::response::{self, Reply};
 
+/// Time after the deadline for which a caller may still read a response that the target has sent.
+const SLOW_READER_GRACE: Duration = Duration::from_secs(10);
+
 /// Runs a request on the local target once it is admitted.
 pub async fn run(daemon: &Arc<Daemon>, call: &Call, options: Options, body: Body) -> Reply {
     let reply = match admit(daemon, call, options).await {
@@ -113,12 +117,17 @@
     if let Some(sample) = daemon.dialect.load_sample(response.headers()) {
         daemon.admission.observe_slowdown(sample.slowdown_percent);
     }
+    // Checked first: a late copy of an earlier refusal says nothing about this request.
+    if let Some(problem) = mismatch(daemon, call, &response) {
+        permit.finish(Completion::Cancelled);
+        return Reply::Problem(problem);
+    }
     if let Some(problem) = refusal(daemon, &response) {
         // The rest of the response is not read, so the connection is dropped with it.
         permit.finish(Completion::Failed);
         return Reply::Problem(problem);
     }
-    if let Some(problem) = mismatch(daemon, call, &response) {
+    if let Some(problem) = unsealed(daemon, &response) {
         permit.finish(Completion::Cancelled);
         return Reply::Problem(problem);
     }
@@ -162,21 +171,25 @@
 fn mismatch(daemon: &Daemon, call: &Call, response: &Response<Incoming>) -> Option<Problem> {
     let dialect = &daemon.dialect;
     let headers = response.headers();
-    if let (Some(sent), Some(returned)) =
-        (call.request_id(dialect), headers.get(&dialect.request_id))
-        && sent != returned
-    {
-        let detail = format!("the target responded to another request: {returned:?}");
-        return Some(Problem::unknown(Cause::TargetFailed, detail));
-    }
-    if let Some(seal) = &dialect.seal
-        && response.status().is_success()
-        && !headers.contains_key(seal)
-    {
-        let detail = format!("the target's response has no {seal} header");
-        return Some(Problem::unknown(Cause::TargetFailed, detail));
+    let sent = call.request_id(dialect)?;
+    let detail = match headers.get(&dialect.request_id) {
+        Some(returned) if returned == sent => return None,
+        Some(returned) => format!("the target responded to another request: {returned:?}"),
+        None if dialect.echoes_request_id => "the target's response has no request id".to_owned(),
+        None => return None,
+    };
+    Some(Problem::unknown(Cause::TargetFailed, detail))
+}
+
+/// Returns the problem if the response claims success without the header that the target adds to
+/// every complete response.
+fn unsealed(daemon: &Daemon, response: &Response<Incoming>) -> Option<Problem> {
+    let seal = daemon.dialect.seal.as_ref()?;
+    if !response.status().is_success() || response.headers().contains_key(seal) {
+        return None;
     }
-    None
+    let detail = format!("the target's response has no {seal} header");
+    Some(Problem::unknown(Cause::TargetFailed, detail))
 }
 
 async fn relay_response(
@@ -203,6 +216,7 @@
         incoming,
         held: Some((connection, permit)),
         pool: daemon.pool.clone(),
+        limit: (!is_bufferable).then(|| Limit::new(deadline)),
     };
     if !is_bufferable {
         return Reply::Response(Response::from_parts(parts, tracked.boxed_unsync()));
@@ -229,6 +243,34 @@
     completion: Completion,
     held: Option<(Connection, Permit)>,
     pool: Arc<Pool>,
+    /// When a streamed body ends at the latest; `None` for one that is collected.
+    limit: Option<Limit>,
+}
+
+/// Time limit of a streamed response body, so that a body without end does not hold its slot
+/// forever.
+struct Limit {
+    deadline: Instant,
+    /// Wakes the task while the target sends nothing.
+    timer: Pin<Box<Sleep>>,
+}
+
+impl Limit {
+    fn new(deadline: Instant) -> Self {
+        Self {
+            deadline,
+            timer: Box::pin(tokio::time::sleep_until(deadline.into())),
+        }
+    }
+
+    /// Whether the body must end. Bytes that the target has sent already are forwarded for another
+    /// [`SLOW_READER_GRACE`], since the caller may still be reading.
+    fn is_exceeded(&mut self, is_pending: bool, context: &mut Context<'_>) -> bool {
+        if is_pending {
+            return self.timer.as_mut().poll(context).is_ready();
+        }
+        Instant::now() >= self.deadline + SLOW_READER_GRACE
+    }
 }
 
 impl Tracked {
@@ -249,6 +291,13 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<body::Result<Frame<Bytes>>>> {
         let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        let is_pending = polled.is_pending();
+        let limit = self.limit.as_mut();
+        if limit.is_some_and(|limit| limit.is_exceeded(is_pending, context)) {
+            self.held = None;
+            let error = "the target's response was not complete before the deadline";
+            return Poll::Ready(Some(Err(error.into())));
+        }
         match polled {
             Poll::Ready(None) => {
                 self.finish();
--- a/crates/basilbay_daemon/tests/stop.rs
+++ b/crates/basilbay_daemon/tests/stop.rs
@@ -241,3 +241,84 @@
     );
     drop((idle, partial));
 }
+
+/// Reads one response with a stated length; `None` if the connection ended before its end.
+async fn read_response(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).to_lowercase();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head
+                .lines()
+                .find_map(|line| line.strip_prefix("content-length: "))
+                .and_then(|length| length.trim().parse::<usize>().ok())?;
+            if body.len() >= length {
+                return Some(text);
+            }
+        }
+        if !matches!(stream.read_buf(&mut bytes).await, Ok(count) if count > 0) {
+            return None;
+        }
+    }
+}
+
+/// Guards against requests without an answer when they arrive at the moment of the stop: on a
+/// connection that waits to be accepted, on a new one, on a kept one, and with the second half of
+/// their headers still on its way.
+#[tokio::test(flavor = "multi_thread")]
+async fn arrival_with_stop() {
+    let request = "GET /read/quick HTTP/1.1\r\nhost: desk\r\nx-request-id: last\r\n\r\n";
+    for _ in 0..3 {
+        let mut fleet = Fleet::start(Plan {
+            extra_settings: "[run]\nserve_out_ms = 0\nlinger_ms = 0\n",
+            ..Plan::new(&[("desk", 1), ("shop", 1)])
+        })
+        .await;
+        let entry = fleet.entry("shop-1");
+        let mut kept = Vec::new();
+        let mut halves = Vec::new();
+        for n in 0..32 {
+            let mut stream = TcpStream::connect(entry).await.unwrap();
+            if n % 2 == 0 {
+                stream.write_all(request.as_bytes()).await.unwrap();
+                read_response(&mut stream).await.expect("a response");
+                kept.push(stream);
+            } else {
+                stream.write_all(&request.as_bytes()[..30]).await.unwrap();
+                halves.push(stream);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        // While the process stands still, the system accepts connections and buffers requests.
+        fleet.signal("shop-1", Signal::STOP);
+        let mut waiting = Vec::new();
+        for _ in 0..32 {
+            let mut stream = TcpStream::connect(entry).await.unwrap();
+            stream.write_all(request.as_bytes()).await.unwrap();
+            waiting.push(("new", stream));
+        }
+        for mut stream in kept {
+            stream.write_all(request.as_bytes()).await.unwrap();
+            waiting.push(("kept", stream));
+        }
+        fleet.signal("shop-1", Signal::TERM);
+        fleet.signal("shop-1", Signal::CONT);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        for mut stream in halves {
+            let sent = stream.write_all(&request.as_bytes()[30..]).await;
+            sent.expect("the connection is open");
+            waiting.push(("half", stream));
+        }
+        let responses = join_all(waiting.into_iter().map(|(kind, mut stream)| async move {
+            (kind, read_response(&mut stream).await.is_some())
+        }));
+        let cut: Vec<&str> = responses
+            .await
+            .into_iter()
+            .filter(|(_, is_complete)| !is_complete)
+            .map(|(kind, _)| kind)
+            .collect();
+        assert!(cut.is_empty(), "no answer on {cut:?}");
+        assert_eq!(fleet.wait_for_exit("shop-1").await.code(), Some(0));
+    }
+}
--- a/crates/basilbay_wire/src/dialect.rs
+++ b/crates/basilbay_wire/src/dialect.rs
@@ -27,6 +27,9 @@
     pub timeout_ms: HeaderName,
     /// Id of one transmission of a request, which the target echoes in its response.
     pub request_id: HeaderName,
+    /// Whether every target echoes the request id, so that a response without one belongs to no
+    /// request.
+    pub echoes_request_id: bool,
     /// Service of the caller, set by basilbay on requests to targets.
     pub caller_service: HeaderName,
     /// Id of the target run (one process lifetime) that a request is addressed to.
@@ -54,6 +57,7 @@
         Self {
             timeout_ms: name(header::TIMEOUT_MS),
             request_id: name("basilbay-request-id"),
+            echoes_request_id: false,
             caller_service: name("basilbay-caller-service"),
             expected_run: name("basilbay-target-run"),
             responding_run: name("basilbay-target-run"),
