Start a fleet with a few full reads of the platform

Cause: in a start of all, each daemon read the platform in full, and again 2 s later: the first list was empty, nobody knew a peer, and daemons without a configuration watched for one every 1.5 s.

Change: membership::bootstrap. A new daemon makes a cheap read of some instances, possibly out of date. All daemons derive the same four starters from it; these read the platform in full, the others ask starters and contacts for their versions, and read themselves 0.8 to 2.8 s later if nobody answers. A daemon that has a fresh roster and no configuration waits 5 s before it looks for one itself, since readers do. The spread of the first read no longer shrinks the delays of later ones.

--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -175,6 +175,9 @@
 fn execute(daemon: &Arc<Daemon>, action: Action) {
     match action {
         Action::Send { to, body } => daemon.control.send(&daemon.settings.id, body, to),
+        Action::ReadContacts => {
+            tokio::spawn(read_contacts(daemon.clone()));
+        }
         Action::PullConfig { pull, have } => {
             tokio::spawn(pull_config(daemon.clone(), pull, have));
         }
@@ -200,6 +203,23 @@
     }
 }
 
+async fn read_contacts(daemon: Arc<Daemon>) {
+    let Some(read) = daemon.source.contacts() else {
+        return;
+    };
+    match read.await {
+        Ok(contacts) => {
+            let now = Instant::now();
+            daemon.control.node().receive_contacts(&contacts, now);
+        }
+        Err(error) => tracing::info!(
+            error = format!("{error:#}"),
+            "failed to read contacts; the node will retry"
+        ),
+    }
+    apply_actions(&daemon);
+}
+
 async fn pull_config(daemon: Arc<Daemon>, pull: Pull, have: Version) {
     match &pull.source {
         Source::Platform => read_config(&daemon, &pull, None).await,
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -237,6 +237,9 @@
             node.set_start_spread(self.settings.start_spread);
             node.set_serves_alone(self.settings.serves_alone);
             node.set_reader_count(self.settings.readers);
+            if self.source.contacts().is_some() {
+                node.start_with_contacts();
+            }
         }
         if let Some(address) = self.settings.readiness {
             monitoring::serve(self.clone(), address, Endpoint::Readiness).await?;
--- a/crates/basilbay_daemon/src/source.rs
+++ b/crates/basilbay_daemon/src/source.rs
@@ -8,6 +8,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+use basilbay_membership::bootstrap::Contact;
 use basilbay_model::id::Version;
 use basilbay_model::roster::Roster;
 
@@ -38,6 +39,12 @@
     /// Reads the configuration.
     fn config(&self) -> ReadFuture<'_, Update>;
 
+    /// Reads some instances, possibly out of date, at a fraction of the price of a full read; `None`
+    /// if there is no such read.
+    fn contacts(&self) -> Option<ReadFuture<'_, Vec<Contact>>> {
+        None
+    }
+
     /// Reads the roster from the instance list; `have` is the version that the daemon has.
     fn roster(&self, have: Version) -> ReadFuture<'_, Update>;
 }
--- a/crates/basilbay_membership/src/action.rs
+++ b/crates/basilbay_membership/src/action.rs
@@ -74,6 +74,8 @@
         /// Digest of the active instances; `None` if there are none or all instances are needed.
         digest: Option<u64>,
     },
+    /// Read some contacts from the platform, at a low price.
+    ReadContacts,
     /// Activate a configuration.
     ApplyConfig(Arc<Config>),
     /// Activate a roster.
--- a/crates/basilbay_membership/src/lib.rs
+++ b/crates/basilbay_membership/src/lib.rs
@@ -7,7 +7,8 @@
 //! so tests run it on a virtual clock.
 //!
 //! [`view`] validates configurations and rosters and only lets versions increase. [`reader`]
-//! selects the few daemons of a failure domain that read the platform. [`gossip`] selects the peers
+//! selects the few daemons of a failure domain that read the platform, and [`bootstrap`] the few
+//! that read it when all start at once. [`gossip`] selects the peers
 //! to notify. [`pull`] limits pulls to one in flight per source and part. [`history`] and [`diff`]
 //! answer pulls of the configuration with line edits, and [`change`] answers pulls of the roster
 //! with the instances that changed. [`pause`] detects that the process was paused, after
@@ -15,6 +16,7 @@
 //! accepted, and if not, why.
 
 pub mod action;
+pub mod bootstrap;
 pub mod change;
 pub mod diff;
 pub mod event;
--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -21,6 +21,7 @@
 use fastrand::Rng;
 
 use crate::action::{Action, Pull, PullId, Source};
+use crate::bootstrap::{Bootstrap, Contact};
 use crate::event::{Event, Part};
 use crate::gossip::{Bucket, EAGER_RESERVE_BYTES, Peers, ROUND_INTERVAL, UDP_IP_HEADER_BYTES};
 use crate::pause::Monitor;
@@ -97,6 +98,10 @@
     readers: Vec<InstanceId>,
     bucket: Bucket,
     last_pull_id: PullId,
+    /// State until the first roster; `None` after it, and if the platform offers no contacts.
+    bootstrap: Option<Bootstrap>,
+    /// Delay of the first read of the platform.
+    start_delay: Duration,
     jitter: Duration,
     next_round_at: Instant,
     next_confirm_at: Instant,
@@ -148,6 +153,8 @@
             readers: Vec::new(),
             bucket: Bucket::new(now),
             last_pull_id: 0,
+            bootstrap: None,
+            start_delay: jitter,
             jitter,
             next_round_at,
             next_confirm_at: now,
@@ -163,7 +170,27 @@
     /// Sets the interval over which daemons that start at the same time spread their first read of
     /// the platform.
     pub fn set_start_spread(&mut self, spread: Duration) {
-        self.jitter = reader::random_fraction(spread, &mut self.random);
+        self.start_delay = reader::random_fraction(spread, &mut self.random);
+    }
+
+    /// Makes the node start with contacts, which the platform offers; to be called before the first
+    /// tick.
+    pub fn start_with_contacts(&mut self) {
+        let id = self.identity.id.clone();
+        let now = self.started_at;
+        let bootstrap = Bootstrap::new(id, self.start_delay, now, &mut self.random);
+        self.bootstrap = Some(bootstrap);
+    }
+
+    /// Handles contacts from the platform.
+    pub fn receive_contacts(&mut self, contacts: &[Contact], now: Instant) {
+        self.observe(now);
+        let random = &mut self.random;
+        if let Some(bootstrap) = &mut self.bootstrap
+            && bootstrap.receive(contacts, now, random)
+        {
+            self.next_round_at = now;
+        }
     }
 
     /// Sets how many daemons of each failure domain read the platform.
@@ -471,7 +498,10 @@
             .last_message_at
             .is_none_or(|at| now.saturating_duration_since(at) >= reader::SILENCE_TIMEOUT);
         let reply = is_silent || !self.readiness(now).is_ready();
-        let to = self.gossip_peers.select_round(&mut self.random);
+        let to = match &self.bootstrap {
+            Some(bootstrap) => bootstrap.select_round(&mut self.random),
+            None => self.gossip_peers.select_round(&mut self.random),
+        };
         self.send_heartbeats(&to, reply, EAGER_RESERVE_BYTES, now);
     }
 
--- a/crates/basilbay_membership/src/node/roster.rs
+++ b/crates/basilbay_membership/src/node/roster.rs
@@ -190,6 +190,7 @@
         };
         self.mark_roster_advanced(now);
         self.first_roster_at.get_or_insert(now);
+        self.bootstrap = None;
         let is_listed = |id: &InstanceId| roster.instance(id).is_some();
         self.peers.leaving.retain(is_listed);
         self.gossip_peers = Peers::new(
--- a/crates/basilbay_membership/src/node/tick.rs
+++ b/crates/basilbay_membership/src/node/tick.rs
@@ -8,13 +8,14 @@
 
 use super::Node;
 use crate::action::{Action, Pull, Source};
+use crate::bootstrap;
 use crate::event::{Event, Part};
 use crate::gossip::ROUND_INTERVAL;
 use crate::pause;
 use crate::pull::{Candidate, InFlight, PEER_TIMEOUT};
 use crate::reader::{
-    self, CONFIG_READ_DELAY, CONFIG_WAIT, DIRECT_READ_INTERVAL, MAX_JITTER, PLATFORM_TIMEOUT,
-    POLL_INTERVAL, SILENCE_TIMEOUT, STALE_AFTER, WATCH_TIMEOUT,
+    self, CONFIG_READ_DELAY, CONFIG_WAIT, CONFIG_WAIT_WITH_READERS, DIRECT_READ_INTERVAL,
+    MAX_JITTER, PLATFORM_TIMEOUT, POLL_INTERVAL, SILENCE_TIMEOUT, STALE_AFTER, WATCH_TIMEOUT,
 };
 
 /// Number of times that each peer is notified that the local target is leaving, since datagrams may
@@ -34,12 +35,13 @@
         self.observe(now);
         self.pause_monitor.tick(now);
         self.expire_pulls(now);
+        self.read_contacts(now);
         self.poll_roster(now);
         self.refresh_config(now);
         self.request_confirmation(now);
         self.pull_newer(now);
         if now >= self.next_round_at {
-            self.next_round_at = now + ROUND_INTERVAL;
+            self.next_round_at = now + self.round_interval();
             self.send_round(now);
         }
         self.send_leaving();
@@ -47,6 +49,22 @@
         self.has_started |= self.missing(now).is_none();
     }
 
+    fn round_interval(&self) -> Duration {
+        match self.bootstrap {
+            Some(_) => bootstrap::ROUND_INTERVAL,
+            None => ROUND_INTERVAL,
+        }
+    }
+
+    fn read_contacts(&mut self, now: Instant) {
+        let random = &mut self.random;
+        if let Some(bootstrap) = &mut self.bootstrap
+            && bootstrap.takes_read(now, random)
+        {
+            self.push_action(Action::ReadContacts);
+        }
+    }
+
     /// Pulls newer versions that peers have announced, unless a pull is in flight.
     pub(super) fn pull_newer(&mut self, now: Instant) {
         let version = self.config_view.version();
@@ -144,8 +162,11 @@
         let read_at = self.platform.roster_read_at;
         let interval_elapsed = |interval| read_at.is_none_or(|last| now >= last + interval);
         if self.roster_view.roster().is_none() {
-            // Jittered, since many daemons may start at the same time.
-            now >= self.started_at + self.jitter || read_at.is_some()
+            match &self.bootstrap {
+                Some(bootstrap) => bootstrap.is_direct_read_due(now),
+                // Jittered, since many daemons may start at the same time.
+                None => now >= self.started_at + self.start_delay || read_at.is_some(),
+            }
         } else if self.is_reader() {
             interval_elapsed(POLL_INTERVAL)
                 || (self.pause_monitor.is_unconfirmed(Part::Roster)
@@ -208,10 +229,18 @@
         self.push_action(Action::WatchConfig { pull, after });
     }
 
+    /// Whether a daemon that is not a reader should look for its first configuration itself. While
+    /// the readers keep the roster fresh, there is most likely none yet.
     fn config_is_overdue(&self, now: Instant) -> bool {
+        let is_fresh = now < self.peers.roster_advanced_at + STALE_AFTER;
+        let wait = if is_fresh && self.peers.last_message_at.is_some() {
+            CONFIG_WAIT_WITH_READERS
+        } else {
+            CONFIG_WAIT
+        };
         let has_waited = self
             .first_roster_at
-            .is_some_and(|first| now >= first + CONFIG_WAIT + 2 * self.jitter);
+            .is_some_and(|first| now >= first + wait + 2 * self.jitter);
         self.config_view.current().is_none() && has_waited
     }
 
--- a/crates/basilbay_membership/src/reader.rs
+++ b/crates/basilbay_membership/src/reader.rs
@@ -52,6 +52,9 @@
 /// twice the jitter is added.
 pub const CONFIG_WAIT: Duration = Duration::from_millis(500);
 
+/// Like [`CONFIG_WAIT`], while the readers keep the roster fresh.
+pub const CONFIG_WAIT_WITH_READERS: Duration = Duration::from_secs(5);
+
 /// Delay of the configuration read after the roster read, for daemons that are not readers.
 ///
 /// When the platform stops responding, all daemons start to read it. With both reads in the same
@@ -85,7 +88,8 @@
     ranked.into_iter().map(|(_, id)| id.clone()).collect()
 }
 
-fn rank(domain: &str, id: &str) -> u64 {
+/// Rank of an instance among the candidates of a group.
+pub(crate) fn rank(domain: &str, id: &str) -> u64 {
     let mut hasher = Sha256::new();
     hasher.update(domain.as_bytes());
     hasher.update([0]);
--- a/crates/basilbay_membership/tests/support/harness.rs
+++ b/crates/basilbay_membership/tests/support/harness.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use basilbay_membership::action::{Action, Pull, Source};
+use basilbay_membership::bootstrap::Contact;
 use basilbay_membership::event::{Event, Part};
 use basilbay_membership::node::Node;
 use basilbay_membership::reader::WATCH_TIMEOUT;
@@ -46,6 +47,8 @@
     Serve(usize, Request),
     Platform(Request),
     Response(Option<usize>, Request, Response),
+    ContactsRead,
+    Contacts(Vec<Contact>),
 }
 
 /// Observed behaviour of a node.
@@ -96,13 +99,23 @@
     pub faults: Faults,
     pub config: Arc<str>,
     pub roster: Arc<Roster>,
+    /// Times of the reads of the platform, without those of contacts.
     pub reads: Vec<u64>,
+    /// Number of reads of contacts.
+    pub contact_reads: usize,
+    /// Number of contacts that the platform returns; 0 if it offers none.
+    contacts: usize,
     pub log: Option<Vec<(u64, usize, Action)>>,
 }
 
 impl Fleet {
     /// Starts all nodes at the same time with empty views.
     pub(crate) fn new(nodes: usize, domains: usize, seed: u64) -> Self {
+        Self::with_contacts(nodes, domains, seed, 0)
+    }
+
+    /// Like [`Fleet::new`], on a platform that offers contacts.
+    pub(crate) fn with_contacts(nodes: usize, domains: usize, seed: u64, contacts: usize) -> Self {
         let mut fleet = Self {
             epoch: Instant::now(),
             queue: BTreeMap::new(),
@@ -116,6 +129,8 @@
             config: sample::text(1, ""),
             roster: sample::roster(1, &vec![0; nodes], domains),
             reads: Vec::new(),
+            contact_reads: 0,
+            contacts,
             log: None,
         };
         fleet.faults.partitions = vec![0; nodes];
@@ -126,7 +141,11 @@
 
     fn start(&mut self, index: usize, run: u32) {
         let identity = sample::identity(sample::instance(index, run, self.domains));
-        let node = Node::new(identity, self.random.u64(..), self.instant());
+        let mut node = Node::new(identity, self.random.u64(..), self.instant());
+        if self.contacts > 0 {
+            node.set_start_spread(Duration::from_millis(50));
+            node.start_with_contacts();
+        }
         let record = Record {
             run,
             ..Record::default()
@@ -171,6 +190,7 @@
             match input {
                 _ if record.run != run => {}
                 Input::Platform(request) => self.read(index, request),
+                Input::ContactsRead => self.read_contacts(index),
                 input if wait > 0 => self.push(wait, index, input),
                 input => self.handle(index, input),
             }
@@ -224,7 +244,8 @@
                     self.handle_response(index, &request, response);
                 }
             }
-            Input::Platform(_) => {}
+            Input::Contacts(contacts) => node.receive_contacts(&contacts, now),
+            Input::Platform(_) | Input::ContactsRead => {}
         }
         self.execute_actions(index);
         let (node, record) = &self.nodes[index];
@@ -235,6 +256,19 @@
         );
     }
 
+    fn read_contacts(&mut self, index: usize) {
+        if self.faults.cut_off[index] || self.faults.platform_down {
+            return;
+        }
+        let listed = self.roster.instances.iter().take(self.contacts);
+        let contacts = listed.map(|instance| Contact {
+            id: instance.id.clone(),
+            address: instance.peer,
+        });
+        let contacts = Input::Contacts(contacts.collect());
+        self.deliver(index, contacts);
+    }
+
     fn read(&mut self, index: usize, request: Request) {
         let newer = sample::version_of(&self.config) > request.have;
         let response = match request.part {
@@ -293,6 +327,10 @@
             let record = &mut self.nodes[index].1;
             match action {
                 Action::Send { to, body } => self.send(index, to, body),
+                Action::ReadContacts => {
+                    self.contact_reads += 1;
+                    self.deliver(index, Input::ContactsRead);
+                }
                 Action::PullConfig { pull, have } => {
                     self.send_request(index, Part::Config, (have, None), 0, pull);
                 }
