Give links up after 2 s without an acknowledgement, not 0.8 s

The target's machine had a link of 11 Mbit/s full of uploads, so the acknowledgement of a ping came later than 400 ms, and the whole connection was given up with all requests on it.

Change: PING_TIMEOUT of 1.6 s, apart from the interval of 400 ms. A request that may be repeated is hedged long before; one that may not gains nothing from an early end, since it must not be sent again.

Test: silent_daemon, which got 502 before.

--- a/crates/basilbay_daemon/src/link.rs
+++ b/crates/basilbay_daemon/src/link.rs
@@ -25,11 +25,14 @@
 /// Time after which a daemon that has not accepted the connection counts as unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Interval of HTTP/2 keep-alive pings while requests are in flight, and the timeout for their
-/// acknowledgement. A daemon that vanished without closing the connection is detected within two
-/// intervals; a daemon that is starved of CPU time still acknowledges within one.
+/// Interval of HTTP/2 keep-alive pings while requests are in flight.
 const PING_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time without an acknowledgement after which the other daemon counts as lost, and all requests on
+/// the connection with it. A daemon that has no processor for a while, or whose link is full, still
+/// works on its requests, most of which must not be sent again.
+const PING_TIMEOUT: Duration = Duration::from_millis(1600);
+
 /// Flow-control window of a stream. Responses are small, and a slow reader blocks no more than this.
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 
@@ -105,7 +108,7 @@
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .keep_alive_interval(PING_INTERVAL)
-        .keep_alive_timeout(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
         .handshake(TokioIo::new(stream))
         .await?;
     tokio::spawn(async move {
--- a/crates/basilbay_daemon/tests/responses.rs
+++ b/crates/basilbay_daemon/tests/responses.rs
@@ -16,6 +16,7 @@
 use basilbay_fakes::targets::response::filler;
 use futures::future::join_all;
 use http::{Method, Version};
+use rustix::process::Signal;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -411,3 +412,29 @@
         .await
         .assert_response("concurrent", 0);
 }
+
+/// Guards against running work that is given up because the daemon beside its target has no processor
+/// for a while: the request must not be sent again, and its target still works on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_daemon() {
+    let plan = Plan {
+        service_time_us: 1_500_000,
+        ..Plan::new(&[("desk", 1), ("shop", 1)])
+    };
+    let fleet = Fleet::start(plan).await;
+    let entry = fleet.entry("shop-1");
+    let calls = (0..4).map(|n| async move {
+        let id = format!("silent{n}");
+        let call = Call::write("x").id(&id).timeout_ms(8_000);
+        call.reply(entry).await.assert_response(&id, 0);
+    });
+    let calls = tokio::spawn(join_all(calls));
+    fleet.wait_for_in_flight("desk-1", 4).await;
+    fleet.signal("desk-1", Signal::STOP);
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    fleet.signal("desk-1", Signal::CONT);
+    calls.await.expect("all requests are answered");
+    for n in 0..4 {
+        assert_eq!(fleet.runs(&format!("silent{n}"), 1).await.len(), 1);
+    }
+}
