Prove that a peer is there before sending what must not be repeated

Ruled out: short keep-alive again (it breaks off running work, LOST); learning of the cut from gossip (a daemon behind the cut looks the same to the platform).

Change: routing::liveness. A request that must not be repeated goes out on a link that has answered within 500 ms, if need be to a ping; without an answer within 200 ms it goes elsewhere, as not sent, and so do others for 500 ms. The link stays open. Requests that may be repeated are sent without a ping.

--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -17,7 +17,7 @@
 use basilbay_membership::{pull, readiness::Readiness};
 use basilbay_model::id::{InstanceId, Version};
 use basilbay_model::roster::Timestamp;
-use basilbay_wire::control::{CONFIG_PATH, ConfigBody, ROSTER_PATH, RosterBody};
+use basilbay_wire::control::{CONFIG_PATH, ConfigBody, PING_PATH, ROSTER_PATH, RosterBody};
 use basilbay_wire::datagram::{Body as Message, Datagram};
 use basilbay_wire::frame::{self, FORMAT_VERSION, MAX_CONTROL_BYTES, MAX_DATAGRAM_BYTES};
 use basilbay_wire::load::State;
@@ -340,7 +340,7 @@
     let link = daemon.links.get(peer, address);
     let exchange = async {
         let response = link
-            .send(request)
+            .send(request, true)
             .await
             .map_err(|failure| anyhow::anyhow!("no response to {path}: {failure:?}"))?;
         anyhow::ensure!(
@@ -355,12 +355,13 @@
     Ok(frame::decode(&bytes, MAX_CONTROL_BYTES)?)
 }
 
-/// Responds to another daemon's pull; `None` if the path is not one of a pull.
+/// Responds to another daemon's pull or ping; `None` if the path is not one of these.
 pub fn serve_pull(daemon: &Arc<Daemon>, path: &str, query: Option<&str>) -> Option<Response<Body>> {
     let have = parse_number(query, "have").unwrap_or(0);
     let digest = parse_number(query, "digest");
     let now = Instant::now();
     let bytes = match path {
+        PING_PATH => Vec::new(),
         CONFIG_PATH => frame::encode(&daemon.control.node().serve_config(have, now)),
         ROSTER_PATH => frame::encode(&daemon.control.node().serve_roster(have, digest, now)),
         _ => return None,
--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -65,7 +65,8 @@
     let request = call.peer_request(&hop, trace, body);
     let link = daemon.links.get(peer, address);
     let deadline = call.deadline + REFUSAL_GRACE;
-    let sent = tokio::time::timeout_at(deadline.into(), link.send(request)).await;
+    let sent =
+        tokio::time::timeout_at(deadline.into(), link.send(request, call.spec.idempotent)).await;
     let problem = match sent {
         Ok(Ok(response)) => return read_response(response, deadline).await,
         Ok(Err(Failure::NotSent(error))) => {
--- a/crates/basilbay_daemon/src/link.rs
+++ b/crates/basilbay_daemon/src/link.rs
@@ -1,11 +1,12 @@
 //! Links to other daemons: one persistent HTTP/2 connection per peer.
 //!
 //! A link connects on first use and again after its connection has closed. Keep-alive pings detect a
-//! peer that vanished without closing the connection.
+//! peer that vanished without closing the connection. A request that must not be repeated is sent only
+//! if the peer has answered a moment ago; see [`basilbay_routing::liveness`].
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use anyhow::Context;
 use http::{Request, Response};
@@ -15,8 +16,10 @@
 use tokio::net::TcpStream;
 
 use basilbay_model::id::InstanceId;
+use basilbay_routing::liveness::{Check, Liveness};
+use basilbay_wire::control::PING_PATH;
 
-use crate::body::Body;
+use crate::body::{self, Body};
 use crate::pool::Failure;
 
 /// Result of connecting to a daemon.
@@ -33,6 +36,9 @@
 /// works on its requests, most of which must not be sent again.
 const PING_TIMEOUT: Duration = Duration::from_millis(1600);
 
+/// Time limit for the answer to a ping that a request waits for.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Flow-control window of a stream. Responses are small, and a slow reader blocks no more than this.
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 
@@ -45,6 +51,7 @@
     peer: InstanceId,
     address: SocketAddr,
     sender: tokio::sync::Mutex<Option<SendRequest<Body>>>,
+    liveness: Mutex<Liveness>,
 }
 
 impl Link {
@@ -53,19 +60,34 @@
             peer: peer.clone(),
             address,
             sender: tokio::sync::Mutex::new(None),
+            liveness: Mutex::default(),
         })
     }
 
-    /// Sends a request. If the open connection turns out to be closed before the request was written,
-    /// the request is sent on a new connection.
+    /// Sends a request; `is_repeatable` tells whether it may be sent again if the peer is gone. If the
+    /// open connection turns out to be closed before the request was written, the request is sent on a
+    /// new connection.
     pub async fn send(
         &self,
         mut request: Request<Body>,
+        is_repeatable: bool,
     ) -> std::result::Result<Response<Incoming>, Failure> {
         loop {
             let (mut sender, is_reused) = self.sender().await.map_err(Failure::NotSent)?;
+            let check = self.liveness().check(is_repeatable, Instant::now());
+            match check {
+                Check::Send => {}
+                Check::Ping => self.ping(&mut sender).await.map_err(Failure::NotSent)?,
+                Check::Avoid => {
+                    let error = anyhow::anyhow!("{} did not answer a ping", self.peer);
+                    return Err(Failure::NotSent(error));
+                }
+            }
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    self.liveness().record_answer(Instant::now());
+                    return Ok(response);
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if is_reused => request = unsent,
                     Some(_) => return Err(Failure::NotSent(error.into_error().into())),
@@ -75,6 +97,30 @@
         }
     }
 
+    /// Waits for the answer to a ping. A request that is sent later on the same connection would wait
+    /// as long, so a late answer means that the peer is too busy for it.
+    async fn ping(&self, sender: &mut SendRequest<Body>) -> Result<()> {
+        let uri = format!("http://{}{PING_PATH}", self.address);
+        let request = Request::get(uri).body(body::empty())?;
+        let answer = sender.send_request(request);
+        match tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
+            Ok(Ok(_)) => {
+                self.liveness().record_answer(Instant::now());
+                Ok(())
+            }
+            Ok(Err(error)) => Err(error).context("the connection failed during a ping"),
+            Err(_) => {
+                self.liveness().record_silence(Instant::now());
+                let peer = &self.peer;
+                anyhow::bail!("{peer} did not answer a ping within {ANSWER_TIMEOUT:?}")
+            }
+        }
+    }
+
+    fn liveness(&self) -> MutexGuard<'_, Liveness> {
+        self.liveness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Connects unless a connection is open.
     pub async fn open(&self) -> Result<()> {
         self.sender().await.map(|_| ())
@@ -94,6 +140,7 @@
                 )
             })??;
         *cached = Some(sender.clone());
+        self.liveness().record_answer(Instant::now());
         Ok((sender, false))
     }
 }
--- a/crates/basilbay_daemon/tests/responses.rs
+++ b/crates/basilbay_daemon/tests/responses.rs
@@ -438,3 +438,30 @@
         assert_eq!(fleet.runs(&format!("silent{n}"), 1).await.len(), 1);
     }
 }
+
+/// Guards against a request that is lost, and must not be sent again, because its target's daemon has
+/// been unreachable for a while without any sign.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_peer() {
+    let plan = Plan {
+        policy: "round-robin",
+        ..Plan::new(&[("desk", 2), ("shop", 1)])
+    };
+    let fleet = Fleet::start(plan).await;
+    let entry = fleet.entry("shop-1");
+    for n in 0..8 {
+        let id = format!("before{n}");
+        let call = Call::write("x").id(&id);
+        call.reply(entry).await.assert_response(&id, 0);
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    fleet.signal("desk-1", Signal::STOP);
+    for n in 0..8 {
+        let id = format!("silent{n}");
+        let call = Call::write("x").id(&id).timeout_ms(4_000);
+        let reply = call.reply(entry).await;
+        reply.assert_response(&id, 0);
+        assert_eq!(reply.target(), "desk-2");
+    }
+    fleet.signal("desk-1", Signal::CONT);
+}
--- a/crates/basilbay_wire/src/control.rs
+++ b/crates/basilbay_wire/src/control.rs
@@ -15,6 +15,9 @@
 /// [`Changes`].
 pub const ROSTER_PATH: &str = "/basilbay/v1/roster";
 
+/// Path that answers with an empty body, which shows that the daemon is there.
+pub const PING_PATH: &str = "/basilbay/v1/ping";
+
 /// One line edit of a text: replaces `removed` lines at `line` with `added`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Edit {
