Ping a peer while a repeatable request waits for it

Change: after 300 ms without a response the peer is pinged; without an answer within 400 ms the request ends as interrupted and is tried elsewhere within the retry budget. Other requests on the link go on.

Test: reads_leave_silent_peer.

--- a/crates/basilbay_daemon/src/link.rs
+++ b/crates/basilbay_daemon/src/link.rs
@@ -39,6 +39,14 @@
 /// Time limit for the answer to a ping that a request waits for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time without a response after which a request that may be sent again has its peer pinged; most
+/// responses take less.
+const WATCH_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time limit for the answer to that ping. It is longer than [`ANSWER_TIMEOUT`], because the request
+/// may be running and another run takes room from others.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Flow-control window of a stream. Responses are small, and a slow reader blocks no more than this.
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 
@@ -77,13 +85,22 @@
             let check = self.liveness().check(is_repeatable, Instant::now());
             match check {
                 Check::Send => {}
-                Check::Ping => self.ping(&mut sender).await.map_err(Failure::NotSent)?,
+                Check::Ping => {
+                    let answer = self.ping(sender.clone(), ANSWER_TIMEOUT);
+                    answer.await.map_err(Failure::NotSent)?;
+                }
                 Check::Avoid => {
                     let error = anyhow::anyhow!("{} did not answer a ping", self.peer);
                     return Err(Failure::NotSent(error));
                 }
             }
-            match sender.try_send_request(request).await {
+            let pings = sender.clone();
+            let answered = tokio::select! {
+                biased;
+                answered = sender.try_send_request(request) => answered,
+                error = self.watch(pings), if is_repeatable => return Err(Failure::Interrupted(error)),
+            };
+            match answered {
                 Ok(response) => {
                     self.liveness().record_answer(Instant::now());
                     return Ok(response);
@@ -99,11 +116,11 @@
 
     /// Waits for the answer to a ping. A request that is sent later on the same connection would wait
     /// as long, so a late answer means that the peer is too busy for it.
-    async fn ping(&self, sender: &mut SendRequest<Body>) -> Result<()> {
+    async fn ping(&self, mut sender: SendRequest<Body>, timeout: Duration) -> Result<()> {
         let uri = format!("http://{}{PING_PATH}", self.address);
         let request = Request::get(uri).body(body::empty())?;
         let answer = sender.send_request(request);
-        match tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
+        match tokio::time::timeout(timeout, answer).await {
             Ok(Ok(_)) => {
                 self.liveness().record_answer(Instant::now());
                 Ok(())
@@ -112,7 +129,21 @@
             Err(_) => {
                 self.liveness().record_silence(Instant::now());
                 let peer = &self.peer;
-                anyhow::bail!("{peer} did not answer a ping within {ANSWER_TIMEOUT:?}")
+                anyhow::bail!("{peer} did not answer a ping within {timeout:?}")
+            }
+        }
+    }
+
+    /// Waits until the peer proves to be unreachable while a request waits for its response.
+    async fn watch(&self, sender: SendRequest<Body>) -> anyhow::Error {
+        loop {
+            tokio::time::sleep(WATCH_INTERVAL).await;
+            let check = self.liveness().check(false, Instant::now());
+            if check == Check::Send {
+                continue;
+            }
+            if let Err(error) = self.ping(sender.clone(), WATCH_TIMEOUT).await {
+                return error;
             }
         }
     }
--- a/crates/basilbay_daemon/tests/responses.rs
+++ b/crates/basilbay_daemon/tests/responses.rs
@@ -465,3 +465,19 @@
     }
     fleet.signal("desk-1", Signal::CONT);
 }
+
+/// Guards against a request that waits for an unreachable daemon although it could be answered
+/// elsewhere: there is no usual response time yet, so that it is not hedged.
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_leave_silent_peer() {
+    let fleet = Fleet::start(Plan::new(&[("desk", 2), ("shop", 1)])).await;
+    let entry = fleet.entry("shop-1");
+    fleet.signal("desk-1", Signal::STOP);
+    for n in 0..6 {
+        let id = format!("read{n}");
+        let call = Call::new(Method::GET, &format!("/read/{id}")).id(&id);
+        let reply = call.timeout_ms(1_500).reply(entry).await;
+        reply.assert_response(&id, 0);
+    }
+    fleet.signal("desk-1", Signal::CONT);
+}
