Let one contact in four read in full at a start of all

Starters grow with the contacts so that each serves a few daemons over its narrow link; the price is about ten reads.

--- a/crates/basilbay_membership/src/bootstrap.rs
+++ b/crates/basilbay_membership/src/bootstrap.rs
@@ -16,8 +16,12 @@
 
 use crate::reader::{random_fraction, rank};
 
-/// Number of contacts that read the platform in full.
-pub const STARTERS: usize = 4;
+/// Smallest number of contacts that read the platform in full.
+const MIN_STARTERS: usize = 4;
+
+/// One in this many contacts reads the platform in full. Others pull from them over links that are
+/// much narrower than the platform's, so each starter must serve a few daemons only.
+const CONTACTS_PER_STARTER: usize = 4;
 
 /// Interval between two rounds of heartbeats to contacts.
 pub const ROUND_INTERVAL: Duration = Duration::from_millis(125);
@@ -90,7 +94,7 @@
         }
         let mut ranked: Vec<&Contact> = contacts.iter().collect();
         ranked.sort_by_key(|contact| std::cmp::Reverse(rank("", &contact.id)));
-        ranked.truncate(STARTERS);
+        ranked.truncate((contacts.len() / CONTACTS_PER_STARTER).max(MIN_STARTERS));
         let others = |contact: &&Contact| contact.id != self.own_id;
         let is_starter = ranked.iter().any(|contact| !others(contact));
         let address = |contact: &Contact| contact.address;
