Report not ready while cut off from all peers

Change: readiness is 503 while no peer has been heard for 1.5 s and the platform's list, read within 4 s, still names some. Requests that arrive are served as before. Without that confirmation the daemon may be the last one and stays ready.

Tests: startup cut_off_from_peers, last_daemon.

--- a/crates/basilbay_daemon/src/local.rs
+++ b/crates/basilbay_daemon/src/local.rs
@@ -111,6 +111,7 @@
 
     /// Whether callers should send new requests here.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.serving.may_serve(Instant::now())
+        let now = Instant::now();
+        !self.is_stopping() && self.serving.may_serve(now) && !self.control.node().is_cut_off(now)
     }
 }
--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -27,7 +27,10 @@
 use crate::pause::Monitor;
 use crate::pull::{InFlight, Tracker};
 use crate::reader::{self, Backoff, MAX_JITTER};
-use crate::readiness::{CATCH_UP_TIMEOUT, ISOLATION_TIMEOUT, Missing, PEER_WAIT, Readiness};
+use crate::readiness::{
+    CATCH_UP_TIMEOUT, CUT_OFF_CONFIRMATION, CUT_OFF_SILENCE, ISOLATION_TIMEOUT, Missing, PEER_WAIT,
+    Readiness,
+};
 use crate::view::{ConfigView, RosterView, digest_prefix};
 
 /// Time after accepting a version during which a peer with an older one is not notified again,
@@ -260,6 +263,19 @@
         Readiness::Ready
     }
 
+    /// Whether callers are better off elsewhere: no peer is heard, although the platform confirms that
+    /// there are some. Without that confirmation, the peers may have failed and this daemon be the last
+    /// one.
+    pub fn is_cut_off(&self, now: Instant) -> bool {
+        let is_silent = self
+            .peers
+            .last_message_at
+            .is_some_and(|at| now.saturating_duration_since(at) > CUT_OFF_SILENCE);
+        let advanced_at = self.peers.roster_advanced_at;
+        let is_confirmed = now.saturating_duration_since(advanced_at) < CUT_OFF_CONFIRMATION;
+        is_silent && is_confirmed && self.gossip_peers.has_peers()
+    }
+
     /// Handles a heartbeat of a peer.
     pub fn receive_heartbeat(
         &mut self,
--- a/crates/basilbay_membership/src/readiness.rs
+++ b/crates/basilbay_membership/src/readiness.rs
@@ -13,6 +13,13 @@
 /// Time without contact with any peer or the platform after which a daemon is isolated.
 pub const ISOLATION_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time without a message from any peer after which a daemon counts as cut off from them. Peers send
+/// about 16 heartbeats a second in all to each daemon.
+pub const CUT_OFF_SILENCE: Duration = Duration::from_millis(1500);
+
+/// Age up to which the platform's list confirms that there are peers.
+pub const CUT_OFF_CONFIRMATION: Duration = Duration::from_secs(4);
+
 /// What a daemon waits for at startup.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Missing {
--- a/crates/basilbay_membership/tests/startup.rs
+++ b/crates/basilbay_membership/tests/startup.rs
@@ -186,3 +186,40 @@
     assert!(numbers.iter().all(listed));
     assert_eq!(Event::Isolated.number(), catalogue::ISOLATED.number);
 }
+
+/// Guards against callers that stay with a daemon which is cut off from all others, although the
+/// platform could send them elsewhere.
+#[test]
+fn cut_off_from_peers() {
+    let mut fleet = Fleet::new(6, 3, 1);
+    fleet.run(4000);
+    let is_cut_off = |fleet: &Fleet| fleet.nodes[0].0.is_cut_off(fleet.instant());
+    assert!(!is_cut_off(&fleet));
+    fleet.faults.partitions[0] = 1;
+    fleet.run(2000);
+    for _ in 0..40 {
+        fleet.run(100);
+        assert!(is_cut_off(&fleet));
+    }
+    assert!(!fleet.nodes[1].0.is_cut_off(fleet.instant()));
+    fleet.faults.partitions[0] = 0;
+    fleet.run(1000);
+    assert!(!is_cut_off(&fleet));
+}
+
+/// Guards against the last daemon of a fleet that sends its callers away: the others have failed, and
+/// the platform cannot tell.
+#[test]
+fn last_daemon() {
+    let mut fleet = Fleet::new(4, 2, 1);
+    fleet.run(4000);
+    for index in 1..4 {
+        fleet.pause(index, 600_000);
+    }
+    fleet.faults.platform_down = true;
+    fleet.run(5000);
+    for _ in 0..40 {
+        fleet.run(100);
+        assert!(!fleet.nodes[0].0.is_cut_off(fleet.instant()));
+    }
+}
