Log which connection a request came on, and responses that are dropped

It could not be told which requests shared a connection, nor that the daemon itself closed one with requests on it.

Change: events 400, 401 and 405 name the caller's connection by a number. Event 406 "responses-dropped" gives connection, number of requests and reason wherever the daemon closes a caller's connection before its requests are answered; the counter calls.dropped counts them.

Test: dropped_responses_logged, which needs event 406.

--- a/crates/basilbay_daemon/src/access_log.rs
+++ b/crates/basilbay_daemon/src/access_log.rs
@@ -13,7 +13,7 @@
 use basilbay_model::id::InstanceId;
 use basilbay_wire::problem::{Outcome, Problem};
 
-use crate::call::Call;
+use crate::call::{Call, Caller};
 use crate::daemon::Daemon;
 use crate::response::Reply;
 
@@ -25,6 +25,8 @@
     failed_runs: Limiter,
     /// Limits the lines on callers that disconnected.
     pub abandoned: Limiter,
+    /// Limits the lines on requests whose connection the daemon closed.
+    pub dropped: Limiter,
 }
 
 impl Limiters {
@@ -35,15 +37,17 @@
             self.not_served.take_suppressed(),
             self.failed_runs.take_suppressed(),
             self.abandoned.take_suppressed(),
+            self.dropped.take_suppressed(),
         ];
         if suppressed.iter().any(|count| *count > 0) {
-            let [answered, not_served, failed_runs, abandoned] = suppressed;
+            let [answered, not_served, failed_runs, abandoned, dropped] = suppressed;
             emit!(
                 catalogue::LINES_LEFT_OUT,
                 answered,
                 not_served,
                 run = failed_runs,
-                left = abandoned
+                left = abandoned,
+                dropped
             );
         }
     }
@@ -114,7 +118,8 @@
                 request = request_id(daemon, call),
                 service = %call.spec.service,
                 kind = %call.spec.kind,
-                caller = ?call.caller,
+                caller = ?call.caller.map(|caller| caller.address),
+                connection = call.caller.map(|caller| caller.connection),
                 status = response.status().as_u16(),
                 took_ms,
                 left_ms = remaining_ms,
@@ -128,6 +133,7 @@
                 request = request_id(daemon, call),
                 service = %call.spec.service,
                 kind = %call.spec.kind,
+                connection = call.caller.map(|caller| caller.connection),
                 cause = problem.cause.slug(),
                 outcome = problem.outcome.as_str(),
                 detail = %problem.detail,
@@ -144,11 +150,12 @@
 
 /// Logs a request that was refused before it could be parsed and classified. `request` is its request
 /// id; empty if the caller sent none.
-pub fn log_unparsed(daemon: &Daemon, request: &str, problem: &Problem) {
+pub fn log_unparsed(daemon: &Daemon, caller: Caller, request: &str, problem: &Problem) {
     if daemon.log_limiters.not_served.try_acquire(Instant::now()) {
         emit!(
             catalogue::REQUEST_NOT_SERVED,
             request,
+            connection = caller.connection,
             cause = problem.cause.slug(),
             outcome = problem.outcome.as_str(),
             detail = %problem.detail,
--- a/crates/basilbay_daemon/src/call.rs
+++ b/crates/basilbay_daemon/src/call.rs
@@ -22,6 +22,18 @@
 use crate::response;
 use crate::trace::Context;
 
+/// Id of a caller's connection, unique within one run of the daemon.
+pub type ConnectionId = u64;
+
+/// Where a caller's request comes from.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    /// Address of the caller.
+    pub address: IpAddr,
+    /// Connection on which the request was received.
+    pub connection: ConnectionId,
+}
+
 /// Options of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -55,8 +67,8 @@
     pub trace: Context,
     /// Hash that identifies requests that crash their target; zero until the body was read.
     pub fingerprint: u64,
-    /// Address of the caller; `None` if another daemon sent the request.
-    pub caller: Option<IpAddr>,
+    /// The caller; `None` if another daemon sent the request.
+    pub caller: Option<Caller>,
 }
 
 impl Call {
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -30,6 +30,7 @@
 
 use crate::access_log::Limiters;
 use crate::admission::{Admission, Counts};
+use crate::call::ConnectionId;
 use crate::control::{self, Control};
 use crate::health::{self, Health};
 use crate::link::Links;
@@ -165,6 +166,8 @@
     started_at: Timestamp,
     /// Id of the next call.
     next_call_id: AtomicU64,
+    /// Id of the next connection of a caller.
+    next_connection_id: AtomicU64,
     /// Next random seed.
     next_seed: AtomicU64,
 }
@@ -225,6 +228,7 @@
             roster_as_of_ms: AtomicU64::new(0),
             started_at: key::unix_ms(SystemTime::now()),
             next_call_id: AtomicU64::new(0),
+            next_connection_id: AtomicU64::new(0),
             next_seed: AtomicU64::new(settings.seed),
             settings,
         }))
@@ -454,6 +458,11 @@
         self.next_call_id.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Returns the id of a new connection of a caller.
+    pub fn next_connection_id(&self) -> ConnectionId {
+        self.next_connection_id.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Returns a seed for one random choice.
     pub fn next_seed(&self) -> u64 {
         self.next_seed.fetch_add(SEED_INCREMENT, Ordering::Relaxed)
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -4,7 +4,6 @@
 //! retry budget and the deadline. A keyed request that is not idempotent is forwarded to the owner of
 //! its key, which routes it with the same code.
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -25,7 +24,7 @@
 use crate::access_log::{self, Trail};
 use crate::attempt::Dispatcher;
 use crate::body::{Body, Payload};
-use crate::call::Call;
+use crate::call::{Call, Caller};
 use crate::daemon::Daemon;
 use crate::owner;
 use crate::request;
@@ -36,7 +35,7 @@
 pub async fn serve(
     daemon: &Arc<Daemon>,
     request: Request<Incoming>,
-    caller: IpAddr,
+    caller: Caller,
 ) -> Response<Body> {
     let received_at = Instant::now();
     let request_id = request.headers().get(&daemon.dialect.request_id).cloned();
@@ -47,7 +46,7 @@
         }
         Err(problem) => {
             let id = request_id.as_ref().and_then(|value| value.to_str().ok());
-            access_log::log_unparsed(daemon, id.unwrap_or_default(), &problem);
+            access_log::log_unparsed(daemon, caller, id.unwrap_or_default(), &problem);
             Reply::Problem(problem)
         }
     };
@@ -72,7 +71,7 @@
 async fn receive(
     daemon: &Arc<Daemon>,
     request: Request<Incoming>,
-    caller: IpAddr,
+    caller: Caller,
 ) -> Result<(Call, Payload), Problem> {
     let now = Instant::now();
     let (parts, incoming) = request.into_parts();
--- a/crates/basilbay_daemon/src/pipeline.rs
+++ b/crates/basilbay_daemon/src/pipeline.rs
@@ -8,7 +8,6 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -26,8 +25,10 @@
 
 use basilbay_events::catalogue;
 use basilbay_events::emit;
+use basilbay_events::metrics;
 use basilbay_wire::problem::{Cause, Problem};
 
+use crate::call::Caller;
 use crate::daemon::Daemon;
 use crate::framing::{self, Decoder};
 use crate::{entry, response};
@@ -76,8 +77,7 @@
 /// State of one connection of a caller.
 struct Connection {
     daemon: Arc<Daemon>,
-    /// IP address of the caller.
-    caller: IpAddr,
+    caller: Caller,
     /// Received bytes that are not yet assigned to a request.
     buffer: BytesMut,
     /// Requests in flight, in the order of their responses.
@@ -96,7 +96,7 @@
 }
 
 /// Serves a connection until one side closes it.
-pub async fn serve(daemon: Arc<Daemon>, stream: TcpStream, caller: IpAddr) {
+pub async fn serve(daemon: Arc<Daemon>, stream: TcpStream, caller: Caller) {
     let (mut reader, mut writer) = stream.into_split();
     let mut connection = Connection {
         daemon: daemon.clone(),
@@ -113,6 +113,7 @@
     loop {
         if let Err(error) = connection.split_requests().await {
             tracing::info!(fault = ?error, "closing connection: malformed request body");
+            connection.drop_pending("malformed request body");
             return;
         }
         if connection.pending.is_empty() {
@@ -145,7 +146,7 @@
                 if !matches!(read, Ok(count) if count > 0) {
                     if !connection.pending.is_empty() && daemon.log_limiters.abandoned.try_acquire(Instant::now()) {
                         let requests = connection.pending.len();
-                        emit!(catalogue::LEFT_BY_CALLER, requests);
+                        emit!(catalogue::LEFT_BY_CALLER, requests, connection = caller.connection);
                     }
                     return;
                 }
@@ -163,15 +164,20 @@
                         // A caller that reads until the end of the connection would take an orderly
                         // close for the end of the response.
                         reset(&reader);
+                        connection.drop_pending("incomplete response before them");
                         return;
                     }
                     Ok(0) => {}
                     Ok(_) => {
                         if writer.write_all_buf(&mut response).await.is_err() {
+                            connection.drop_pending("the caller does not receive");
                             return;
                         }
                     }
-                    Err(_) => return,
+                    Err(_) => {
+                        connection.drop_pending("response could not be read");
+                        return;
+                    }
                 }
             }
             () = daemon.stop.cancelled(), if connection.arrived.is_none() => {
@@ -403,6 +409,23 @@
         }
     }
 
+    /// Drops the pending requests because the connection closes without their responses.
+    fn drop_pending(&mut self, reason: &'static str) {
+        let requests = self.pending.len();
+        self.pending.clear();
+        if requests == 0 {
+            return;
+        }
+        let daemon = &self.daemon;
+        daemon
+            .metrics
+            .count(metrics::CALLS_DROPPED, requests as u64);
+        if daemon.log_limiters.dropped.try_acquire(Instant::now()) {
+            let connection = self.caller.connection;
+            emit!(catalogue::RESPONSES_DROPPED, connection, requests, reason);
+        }
+    }
+
     /// Removes the first pending request after its response; returns whether it was complete.
     async fn finish_response(&mut self) -> bool {
         let Some(pending) = self.pending.pop_front() else {
@@ -413,7 +436,7 @@
         // If the body of the finished request is incomplete, the start of the next one is unknown.
         if closes || (self.pending.is_empty() && self.upload.is_some()) {
             self.is_closing = true;
-            self.pending.clear();
+            self.drop_pending("another response announced the close");
             self.upload = None;
         }
         is_complete
--- a/crates/basilbay_daemon/src/server.rs
+++ b/crates/basilbay_daemon/src/server.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::body::Body;
+use crate::call::Caller;
 use crate::daemon::Daemon;
 use crate::{entry, hop, pipeline};
 
@@ -126,6 +127,10 @@
             .initial_stream_window_size(UNADMITTED_BODY_BYTES);
     }
     let daemon = daemon.clone();
+    let caller = Caller {
+        address: client,
+        connection: daemon.next_connection_id(),
+    };
     if side == Side::Callers {
         let watcher = graceful.watcher();
         tokio::spawn(async move {
@@ -135,19 +140,19 @@
             };
             if is_http2 {
                 let service =
-                    service_fn(move |request| handle(daemon.clone(), side, client, request));
+                    service_fn(move |request| handle(daemon.clone(), side, caller, request));
                 let connection = builder.serve_connection(TokioIo::new(stream), service);
                 if let Err(error) = watcher.watch(connection.into_owned()).await {
                     tracing::debug!(error, "HTTP/2 connection of caller {client} failed");
                 }
                 return;
             }
-            pipeline::serve(daemon, stream, client).await;
+            pipeline::serve(daemon, stream, caller).await;
             drop(watcher);
         });
         return;
     }
-    let service = service_fn(move |request| handle(daemon.clone(), side, client, request));
+    let service = service_fn(move |request| handle(daemon.clone(), side, caller, request));
     let connection = builder
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
@@ -186,11 +191,11 @@
 async fn handle(
     daemon: Arc<Daemon>,
     side: Side,
-    client: IpAddr,
+    caller: Caller,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let response = match side {
-        Side::Callers => entry::serve(&daemon, request, client).await,
+        Side::Callers => entry::serve(&daemon, request, caller).await,
         Side::Peers => hop::serve(&daemon, request).await,
     };
     Ok(response)
--- a/crates/basilbay_daemon/tests/pipeline.rs
+++ b/crates/basilbay_daemon/tests/pipeline.rs
@@ -114,6 +114,34 @@
     assert!(!responses.contains("second-body"), "{responses}");
 }
 
+/// Guards against responses that are dropped without a trace: the log must name the connection, and
+/// the lines of its requests must have the same number.
+#[tokio::test(flavor = "multi_thread")]
+async fn dropped_responses_logged() {
+    let plan = Plan {
+        target_override: Some((0, start_truncating_target().await)),
+        ..Plan::new(&[("desk", 1), ("shop", 1)])
+    };
+    let fleet = Fleet::start(plan).await;
+    let mut stream = connect(fleet.entry("shop-1")).await;
+    let requests = get("broken") + &get("second") + &get("third");
+    stream.write_all(requests.as_bytes()).await.expect("sent");
+    read_responses(&mut stream, 9).await;
+    let log = fleet.log("shop-1");
+    let dropped = log.lines().find(|line| line.contains("\"event\":406"));
+    let dropped = dropped.unwrap_or_else(|| panic!("event 406 is missing in {log}"));
+    assert!(dropped.contains("\"requests\":2"), "{dropped}");
+    let number = dropped
+        .split("\"connection\":")
+        .nth(1)
+        .expect("a connection");
+    let number = number.split([',', '}']).next().expect("a number");
+    let connection = format!("\"connection\":{number}");
+    let answered = log.lines().filter(|line| line.contains("\"event\":400"));
+    let same = answered.filter(|line| line.contains(&connection)).count();
+    assert_eq!(same, 3, "{log}");
+}
+
 /// Guards against requests that continue to run after their caller has disconnected, which the
 /// daemon may miss while bytes of a further request are buffered.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -115,6 +115,9 @@
         "Nothing, unless it persists.";
     LEFT_BY_CALLER 405 Info "left-by-caller"
         "A caller disconnected before it got a response; the request is cancelled." "Nothing.";
+    RESPONSES_DROPPED 406 Warning "responses-dropped"
+        "The daemon closed a caller's connection before all requests on it had their responses."
+        "Look for the connection's other requests; `reason` says what ended it.";
     REQUEST_SUSPECT 500 Warning "request-suspect"
         "The target crashed while it ran this request; after two crashes the request is refused."
         "Check the target's log for what the request does.";
--- a/crates/basilbay_events/src/metrics.rs
+++ b/crates/basilbay_events/src/metrics.rs
@@ -61,6 +61,8 @@
         "Requests of callers that ended with outcome `not-run`.";
     CALLS_UNKNOWN Counter "calls.unknown"
         "Requests of callers that ended with outcome `unknown`.";
+    CALLS_DROPPED Counter "calls.dropped"
+        "Requests of callers whose connection the daemon closed before the response was complete.";
     CALL_TIME Time "calls.time"
         "Time from a caller's request to its response.";
     ATTEMPTS_REPEATED Counter "attempts.repeated"
