Reproduce the LOST at a planned stop: a later answer that comes first

What callers saw: a request that had run got no answer, and its connection closed.

Three pipelined requests take 1200, 900 and 600 ms; SIGTERM comes after 200 ms. Only the first is answered ("left: 1, right: 3"), and the connection ends in an orderly way.

--- a/crates/basilbay_daemon/tests/pipeline.rs
+++ b/crates/basilbay_daemon/tests/pipeline.rs
@@ -163,6 +163,77 @@
     }
 }
 
+/// Starts a target that responds to `/read/MS` after that many milliseconds.
+async fn start_delayed_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("the listener is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = Vec::new();
+                while matches!(stream.read_buf(&mut request).await, Ok(count) if count > 0) {
+                    if !request.ends_with(b"\r\n\r\n") {
+                        continue;
+                    }
+                    let text = String::from_utf8_lossy(&request).into_owned();
+                    let path = text.split(' ').nth(1).unwrap_or_default();
+                    let delay_ms: u64 = path
+                        .rsplit('/')
+                        .next()
+                        .unwrap_or_default()
+                        .parse()
+                        .unwrap_or(0);
+                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                    let response = format!(
+                        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{path}",
+                        path.len()
+                    );
+                    if stream.write_all(response.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    request.clear();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a response that is dropped at a stop because a later request of the connection was
+/// answered first and announced the close.
+#[tokio::test(flavor = "multi_thread")]
+async fn later_answer_first() {
+    let plan = Plan {
+        target_override: Some((0, start_delayed_target().await)),
+        extra_settings: "[run]\nserve_out_ms = 0\nlinger_ms = 0\n",
+        ..Plan::new(&[("desk", 1), ("shop", 1)])
+    };
+    let mut fleet = Fleet::start(plan).await;
+    let mut stream = connect(fleet.entry("shop-1")).await;
+    let delays_ms = [1200, 900, 600];
+    let requests: String = delays_ms.iter().map(|it| get(&it.to_string())).collect();
+    stream.write_all(requests.as_bytes()).await.expect("sent");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.signal("shop-1", Signal::TERM);
+    let mut bytes = Vec::new();
+    stream
+        .read_to_end(&mut bytes)
+        .await
+        .expect("the connection is not reset");
+    let responses = String::from_utf8_lossy(&bytes);
+    let heads: Vec<&str> = responses.split("HTTP/1.1 200").skip(1).collect();
+    assert_eq!(heads.len(), delays_ms.len(), "{responses}");
+    for (response, delay_ms) in heads.iter().zip(delays_ms) {
+        assert!(
+            response.ends_with(&format!("/read/{delay_ms}")),
+            "{responses}"
+        );
+    }
+    let announced = heads.iter().map(|it| it.contains("connection: close"));
+    assert!(announced.eq([false, false, true]), "{responses}");
+    assert_eq!(fleet.wait_for_exit("shop-1").await.code(), Some(0));
+}
+
 /// Guards against a stop that never completes because a busy connection keeps sending requests.
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_while_busy() {
