Keep the responses behind one that ends when the close was announced

At a planned stop a request that had run, and that its daemon logged as answered, got no answer, and its connection closed.

With two requests in flight the later one may be ready first. It announces the close, rightly, as the last one accepted; but finish_response of the earlier one read the same counter, took the announcement for its own, and dropped the requests behind it. Class: a fact about a connection (no further requests) is used as a fact about one request (nothing follows it).

Ruled out: the drain deadline and the end of the process ("stopped" follows 0.8 s after the close in the trace), a link that was given up (the daemon logs the answer), HTTP/2 (later_stream_first passes without the fix; hyper counts streams).

Change: closing means that no request is accepted any more; it never drops those in flight. An incomplete request body still closes, but then nothing is behind. The flag that noted the caller's own "connection: close" is not needed: no request is accepted after it.

--- a/crates/basilbay_daemon/src/pipeline.rs
+++ b/crates/basilbay_daemon/src/pipeline.rs
@@ -59,8 +59,6 @@
 struct Pending {
     /// Side of the in-memory connection that yields the response.
     response: ReadHalf<DuplexStream>,
-    /// Whether the caller's connection closes after the response.
-    closes: bool,
     /// Serves the request; returns whether the response was written completely.
     task: AbortOnDropHandle<bool>,
 }
@@ -392,7 +390,6 @@
         self.is_closing |= head.closes;
         self.pending.push_back(Pending {
             response,
-            closes: head.closes,
             task: AbortOnDropHandle::new(task),
         });
         self.upload = Some(Upload {
@@ -431,12 +428,12 @@
         let Some(pending) = self.pending.pop_front() else {
             return true;
         };
-        let closes = pending.closes || self.started.load(Ordering::Acquire) == CLOSE_ANNOUNCED;
         let is_complete = pending.task.await.unwrap_or(false);
+        // Whatever closes the connection, the requests behind this one keep their responses.
+        self.is_closing |= self.started.load(Ordering::Acquire) == CLOSE_ANNOUNCED;
         // If the body of the finished request is incomplete, the start of the next one is unknown.
-        if closes || (self.pending.is_empty() && self.upload.is_some()) {
+        if self.pending.is_empty() && self.upload.is_some() {
             self.is_closing = true;
-            self.drop_pending("another response announced the close");
             self.upload = None;
         }
         is_complete
