Let the connection decide which request is its last at a stop

What callers saw: requests that had arrived before a stop were closed without a response, behind a response that announced the close: the 17th and later ones of a pipeline, and one of which only a part had arrived.

Cause: the response decided from the number of started requests that its own was the last, though bytes of further ones had arrived and were to be served.

Change: the connection names its last request (after a stop once all that had arrived have started, or with the caller's own "connection: close"), and the response to that number announces the close. A response that is ready in the moment between the stop and this decision does not announce it; the connection then closes unread, as an idle one does.

--- a/crates/basilbay_daemon/src/pipeline.rs
+++ b/crates/basilbay_daemon/src/pipeline.rs
@@ -9,7 +9,7 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, BytesMut};
@@ -52,9 +52,6 @@
 /// Time limit for the rest of request headers that had arrived in part when the daemon stopped.
 const STOP_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Value of the request counter once a response has announced that the connection closes.
-const CLOSE_ANNOUNCED: u64 = u64::MAX;
-
 /// A request that hyper serves on an in-memory connection.
 struct Pending {
     /// Side of the in-memory connection that yields the response.
@@ -72,6 +69,26 @@
     writer: WriteHalf<DuplexStream>,
 }
 
+/// Announcement of the close. The connection decides which request is its last, since it knows which
+/// bytes have arrived; the response to that request announces the close.
+#[derive(Default)]
+struct Closing {
+    /// Number of the last request that the connection accepts, from 1; 0 until that is decided.
+    last: AtomicU64,
+    is_announced: AtomicBool,
+}
+
+impl Closing {
+    /// Whether the response to a request announces the close.
+    fn announce(&self, number: u64) -> bool {
+        let is_last = self.last.load(Ordering::Acquire) == number;
+        if is_last {
+            self.is_announced.store(true, Ordering::Release);
+        }
+        is_last
+    }
+}
+
 /// State of one connection of a caller.
 struct Connection {
     daemon: Arc<Daemon>,
@@ -82,8 +99,9 @@
     pending: VecDeque<Pending>,
     /// The request whose body is being received; `None` between requests.
     upload: Option<Upload>,
-    /// Number of requests started so far, or [`CLOSE_ANNOUNCED`].
-    started: Arc<AtomicU64>,
+    /// Number of requests started so far.
+    started: u64,
+    closing: Arc<Closing>,
     /// Whether the connection accepts no further requests and closes after the pending responses.
     is_closing: bool,
     /// Number of bytes that had arrived when the daemon stopped and are not yet assigned to a
@@ -102,7 +120,8 @@
         buffer: BytesMut::new(),
         pending: VecDeque::new(),
         upload: None,
-        started: Arc::default(),
+        started: 0,
+        closing: Arc::default(),
         is_closing: false,
         arrived: None,
         error: None,
@@ -191,7 +210,7 @@
             }
         }
     }
-    let is_announced = connection.started.load(Ordering::Acquire) == CLOSE_ANNOUNCED;
+    let is_announced = connection.closing.is_announced.load(Ordering::Acquire);
     if connection.arrived.is_some() && !is_announced {
         close_unread(reader, writer).await;
     } else {
@@ -199,20 +218,6 @@
     }
 }
 
-/// Takes the number of the next request; `None` once a response has announced the close.
-fn next_number(started: &AtomicU64) -> Option<u64> {
-    let next = |count: u64| (count != CLOSE_ANNOUNCED).then(|| count + 1);
-    let previous = started.fetch_update(Ordering::AcqRel, Ordering::Acquire, next);
-    previous.ok().map(|previous| previous + 1)
-}
-
-/// Announces the close with the response to a request; returns `false` if a later one has started.
-fn announce_close(started: &AtomicU64, number: u64) -> bool {
-    let exchanged =
-        started.compare_exchange(number, CLOSE_ANNOUNCED, Ordering::AcqRel, Ordering::Acquire);
-    exchanged.is_ok()
-}
-
 /// Reads a part of the next response to write; pends while no request is in flight.
 async fn read_response(
     pending: &mut VecDeque<Pending>,
@@ -314,6 +319,7 @@
                     *arrived = arrived.saturating_sub(taken);
                 }
                 if !upload.decoder.is_done() || !upload.unsent.is_empty() {
+                    self.decide_last();
                     return Ok(());
                 }
                 if let Err(error) = upload.writer.shutdown().await {
@@ -321,7 +327,7 @@
                 }
                 self.upload = None;
             }
-            self.is_closing |= self.arrived == Some(0);
+            self.decide_last();
             if self.is_closing || self.pending.len() >= MAX_PIPELINED || self.buffer.is_empty() {
                 return Ok(());
             }
@@ -338,6 +344,19 @@
         }
     }
 
+    /// Accepts no further requests once those that had arrived when the daemon stopped have started.
+    fn decide_last(&mut self) {
+        if self.arrived == Some(0) && !self.is_closing {
+            self.accept_no_more();
+        }
+    }
+
+    /// Makes the latest request the last one of the connection.
+    fn accept_no_more(&mut self) {
+        self.is_closing = true;
+        self.closing.last.store(self.started, Ordering::Release);
+    }
+
     /// Accepts no requests but those of which a byte has arrived by now.
     fn stop(&mut self, reader: &tokio::net::tcp::OwnedReadHalf) {
         while self.buffer.len() < MAX_READ_AHEAD_BYTES
@@ -348,22 +367,19 @@
 
     /// Starts to serve a request whose head is at the start of the buffer.
     fn start(&mut self, head: framing::Head) {
-        let Some(number) = next_number(&self.started) else {
-            self.is_closing = true;
-            return;
-        };
+        self.started += 1;
+        let number = self.started;
         let (near, far) = tokio::io::duplex(PIPE_BYTES);
         let (response, writer) = tokio::io::split(near);
         let daemon = self.daemon.clone();
-        let started = self.started.clone();
+        let closing = self.closing.clone();
         let caller = self.caller;
         let service = service_fn(move |request: Request<Incoming>| {
             let daemon = daemon.clone();
-            let started = started.clone();
+            let closing = closing.clone();
             async move {
                 let mut response = entry::serve(&daemon, request, caller).await;
-                // Only the last started request announces the close; other responses still follow.
-                if daemon.stop.is_cancelled() && announce_close(&started, number) {
+                if closing.announce(number) {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
@@ -387,7 +403,9 @@
         if let Some(arrived) = &mut self.arrived {
             *arrived = arrived.saturating_sub(head.length);
         }
-        self.is_closing |= head.closes;
+        if head.closes {
+            self.accept_no_more();
+        }
         self.pending.push_back(Pending {
             response,
             task: AbortOnDropHandle::new(task),
@@ -429,8 +447,6 @@
             return true;
         };
         let is_complete = pending.task.await.unwrap_or(false);
-        // Whatever closes the connection, the requests behind this one keep their responses.
-        self.is_closing |= self.started.load(Ordering::Acquire) == CLOSE_ANNOUNCED;
         // If the body of the finished request is incomplete, the start of the next one is unknown.
         if self.pending.is_empty() && self.upload.is_some() {
             self.is_closing = true;
--- a/crates/basilbay_daemon/tests/stop_order.rs
+++ b/crates/basilbay_daemon/tests/stop_order.rs
@@ -211,3 +211,41 @@
     assert_eq!(bodies, delays_ms.map(|it| format!("/read/{it}")));
     assert_eq!(fleet.wait_for_exit("shop-1").await.code(), Some(0));
 }
+
+/// Guards against requests that had arrived before the stop and are dropped because a response before
+/// them announced the close: more requests than the daemon runs of one connection at a time.
+#[tokio::test(flavor = "multi_thread")]
+async fn deep_pipeline() {
+    let mut fleet = start_fleet().await;
+    let mut stream = connect(&fleet).await;
+    let delays_ms: Vec<u64> = (0..20).map(|n| if n == 15 { 400 } else { 700 }).collect();
+    let requests: String = delays_ms.iter().copied().map(get).collect();
+    stream.write_all(requests.as_bytes()).await.expect("sent");
+    tokio::time::sleep(STOP_AFTER).await;
+    fleet.signal("shop-1", Signal::TERM);
+    let responses = read_to_end(&mut stream).await;
+    let paths: Vec<String> = delays_ms.iter().map(|it| format!("/read/{it}")).collect();
+    assert_in_order(&responses, &paths);
+    assert_eq!(fleet.wait_for_exit("shop-1").await.code(), Some(0));
+}
+
+/// Guards against a request of which a part had arrived before the stop and that is dropped because
+/// the response before it announced the close.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_request_behind() {
+    let mut fleet = start_fleet().await;
+    let mut stream = connect(&fleet).await;
+    let requests = get(500) + &get(100);
+    let (first, rest) = requests.split_at(requests.len() - 10);
+    stream.write_all(first.as_bytes()).await.expect("sent");
+    tokio::time::sleep(STOP_AFTER).await;
+    fleet.signal("shop-1", Signal::TERM);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    stream.write_all(rest.as_bytes()).await.expect("sent");
+    let responses = read_to_end(&mut stream).await;
+    assert_in_order(
+        &responses,
+        &["/read/500".to_owned(), "/read/100".to_owned()],
+    );
+    assert_eq!(fleet.wait_for_exit("shop-1").await.code(), Some(0));
+}
