Keep the responses before a request with a malformed body

What callers saw: a connection that closed without any response, though its first requests were proper, had run or were running.

Cause: an error in the body of a pipelined request ended the whole connection at once.

Change: only the malformed request is dropped, and no further one is accepted. If a part of its own response has been written, the connection is reset, so that the part cannot be taken for a whole response.

Test: malformed_body_behind, which got no response before (0 of 2).

--- a/crates/basilbay_daemon/src/pipeline.rs
+++ b/crates/basilbay_daemon/src/pipeline.rs
@@ -107,6 +107,8 @@
     /// Number of bytes that had arrived when the daemon stopped and are not yet assigned to a
     /// request: their requests are still served. `None` while the daemon runs.
     arrived: Option<usize>,
+    /// Whether a part of the first pending response has been written.
+    has_partial_response: bool,
     /// Framing error in the received bytes; it is reported after all pending responses.
     error: Option<framing::Error>,
 }
@@ -124,14 +126,18 @@
         closing: Arc::default(),
         is_closing: false,
         arrived: None,
+        has_partial_response: false,
         error: None,
     };
     let mut response = BytesMut::with_capacity(READ_BYTES);
     loop {
         if let Err(error) = connection.split_requests().await {
             tracing::info!(fault = ?error, "closing connection: malformed request body");
-            connection.drop_pending("malformed request body");
-            return;
+            connection.abandon_upload();
+            if connection.pending.is_empty() && connection.has_partial_response {
+                reset(&reader);
+                return;
+            }
         }
         if connection.pending.is_empty() {
             if let Some(error) = connection.error {
@@ -186,6 +192,7 @@
                     }
                     Ok(0) => {}
                     Ok(_) => {
+                        connection.has_partial_response = true;
                         if writer.write_all_buf(&mut response).await.is_err() {
                             connection.drop_pending("the caller does not receive");
                             return;
@@ -417,6 +424,17 @@
         });
     }
 
+    /// Drops the request whose body is malformed, and accepts no further ones. Those before it keep
+    /// their responses.
+    fn abandon_upload(&mut self) {
+        self.upload = None;
+        self.buffer.clear();
+        self.is_closing = true;
+        if self.pending.pop_back().is_some() {
+            self.record_dropped(1, "malformed request body");
+        }
+    }
+
     /// Discards the received part of the request body; later parts are handled likewise.
     fn discard_body(&mut self) {
         if let Some(upload) = &mut self.upload {
@@ -428,9 +446,12 @@
     fn drop_pending(&mut self, reason: &'static str) {
         let requests = self.pending.len();
         self.pending.clear();
-        if requests == 0 {
-            return;
+        if requests > 0 {
+            self.record_dropped(requests, reason);
         }
+    }
+
+    fn record_dropped(&self, requests: usize, reason: &'static str) {
         let daemon = &self.daemon;
         daemon
             .metrics
@@ -446,6 +467,7 @@
         let Some(pending) = self.pending.pop_front() else {
             return true;
         };
+        self.has_partial_response = false;
         let is_complete = pending.task.await.unwrap_or(false);
         // If the body of the finished request is incomplete, the start of the next one is unknown.
         if self.pending.is_empty() && self.upload.is_some() {
--- a/crates/basilbay_daemon/tests/stop_order.rs
+++ b/crates/basilbay_daemon/tests/response_order.rs
@@ -1,4 +1,4 @@
-//! Order of responses on a caller's connection while its daemon stops.
+//! Order of responses on a caller's connection: none is dropped because of another request, also at a stop.
 
 #[allow(dead_code)]
 #[path = "common/call.rs"]
@@ -249,3 +249,18 @@
     );
     assert_eq!(fleet.wait_for_exit("shop-1").await.code(), Some(0));
 }
+
+/// Guards against requests that are dropped because the body of a later request of their connection is
+/// malformed.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_body_behind() {
+    let fleet = start_fleet().await;
+    let mut stream = connect(&fleet).await;
+    let malformed = "POST /write/100 HTTP/1.1\r\nhost: desk\r\ntransfer-encoding: chunked\r\n\r\nnot a size\r\n";
+    let requests = get(400) + &get(300) + malformed;
+    stream.write_all(requests.as_bytes()).await.expect("sent");
+    let responses = read_to_end(&mut stream).await;
+    assert_eq!(responses.len(), 2, "{responses:#?}");
+    assert!(responses[0].ends_with("/read/400"), "{responses:#?}");
+    assert!(responses[1].ends_with("/read/300"), "{responses:#?}");
+}
