Let slow_callers resend what a paused daemon refused

Seen once, beside builds: slow_callers failed with 503 "unconfirmed" for its last request. Trace: desk-1 got no processor for over 400 ms (event 103 at 50.271 s), refused the request as not run at 50.301 s and was confirmed at 50.302 s (event 104); there is no second target. Refusing after a pause until the view is confirmed is a guarantee (pause::queued_requests), so the case is allowed.

Change: the request is sent once more, after the Retry-After of 1 s, if it was refused and a daemon logged a pause. Memory bounds and the check of the response stay. Not shown: that the changed test passes in the very case, which did not come again.

--- a/crates/basilbay_daemon/tests/responses.rs
+++ b/crates/basilbay_daemon/tests/responses.rs
@@ -406,11 +406,16 @@
             "resident memory grew from {before} to {after} KiB"
         );
     }
-    Call::read()
-        .id("concurrent")
-        .reply(fleet.entry("shop-1"))
-        .await
-        .assert_response("concurrent", 0);
+    let concurrent = Call::read().id("concurrent");
+    let mut reply = concurrent.reply(fleet.entry("shop-1")).await;
+    // On a busy machine a daemon may get no processor for longer than a pause; until its view is
+    // confirmed again, it refuses requests as not run.
+    let has_paused = |id| fleet.log(id).contains("\"event\":103");
+    if reply.headers.contains_key("retry-after") && (has_paused("desk-1") || has_paused("shop-1")) {
+        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+        reply = concurrent.reply(fleet.entry("shop-1")).await;
+    }
+    reply.assert_response("concurrent", 0);
 }
 
 /// Guards against running work that is given up because the daemon beside its target has no processor
