--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -1,6 +1,9 @@
 //! The daemon: owns all state, starts the tasks that drive it, and passes changes of configuration,
 //! roster and load between its parts.
 
+mod shard;
+mod view;
+
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
@@ -47,6 +50,9 @@
 use crate::traffic::Traffic;
 use crate::{admin, stop};
 
+pub use shard::Shard;
+pub use view::View;
+
 /// Result of starting a daemon.
 pub type Result<T> = anyhow::Result<T>;
 
@@ -65,51 +71,6 @@
 /// Time between two reports of metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Snapshot of the current configuration and roster.
-#[derive(Clone, Debug)]
-pub struct View {
-    /// Current configuration.
-    pub config: Arc<Config>,
-    /// Current roster, as read from the instance list.
-    pub roster: Arc<Roster>,
-}
-
-impl View {
-    /// Returns the view before the first read, without services and instances.
-    fn empty() -> Self {
-        let config = Config {
-            version: 0,
-            domains: Vec::new(),
-            services: Vec::new(),
-            routes: Vec::new(),
-            limits: Limits::default(),
-        };
-        Self {
-            config: Arc::new(config),
-            roster: Arc::new(Roster::default()),
-        }
-    }
-}
-
-/// State of one service: its router and its roster history, each under its own lock.
-#[derive(Debug)]
-pub struct Shard {
-    service: ServiceId,
-    router: Mutex<Router>,
-    history: Mutex<History>,
-}
-
-impl Shard {
-    /// Locks the router.
-    pub fn router(&self) -> MutexGuard<'_, Router> {
-        self.router.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn history(&self) -> MutexGuard<'_, History> {
-        self.history.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// A daemon with all its state.
 #[derive(Debug)]
 pub struct Daemon {
@@ -327,11 +288,7 @@
     fn new_shard(&self, service: &ServiceId, limits: &Limits) -> Shard {
         let router = Router::new(service.clone(), self.next_seed(), Instant::now());
         let history = History::new(service.clone(), limits.key_retention, self.started_at);
-        Shard {
-            service: service.clone(),
-            router: Mutex::new(router),
-            history: Mutex::new(history),
-        }
+        Shard::new(service.clone(), router, history)
     }
 
     /// Returns the state of a service; `None` if it is not configured.
