Refuse a request target that is no URI before it reaches hyper

What callers saw: a request that had run got no answer, because the one before it on the connection had a target such as "://".

Cause: framing accepted the head and hyper refused it, with a bare 400 of its own and an error, which the pipeline took for an incomplete response: it dropped the requests behind.

Change: parse_head refuses such a target, so no later request is started, earlier ones are answered, and the caller gets a problem document.

--- a/crates/basilbay_daemon/src/framing.rs
+++ b/crates/basilbay_daemon/src/framing.rs
@@ -30,6 +30,8 @@
     pub body: Encoding,
     /// Whether the connection closes after the response.
     pub closes: bool,
+    /// Whether the request is of HTTP/1.0.
+    pub is_http10: bool,
 }
 
 /// How the end of a body is found.
@@ -56,7 +58,15 @@
     if length > limit {
         return Err(Error::HeadersTooLarge);
     }
-    let mut closes = request.version == Some(0);
+    // hyper would answer a target that is no URI by itself and close, with other requests in flight.
+    if request
+        .path
+        .is_none_or(|path| path.parse::<http::Uri>().is_err())
+    {
+        return Err(Error::Malformed);
+    }
+    let is_http10 = request.version == Some(0);
+    let mut closes = is_http10;
     let mut body = None;
     for header in request.headers.iter() {
         let name = header.name;
@@ -87,6 +97,7 @@
         length,
         body: body.unwrap_or(Encoding::Length(0)),
         closes,
+        is_http10,
     }))
 }
 
--- a/crates/basilbay_daemon/tests/response_order.rs
+++ b/crates/basilbay_daemon/tests/response_order.rs
@@ -6,8 +6,9 @@
 #[allow(dead_code)]
 #[path = "common/fleet.rs"]
 mod fleet;
+#[path = "common/scripted_target.rs"]
+mod scripted_target;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -17,7 +18,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use rustix::process::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 use fleet::{Fleet, Plan};
 
@@ -37,54 +38,9 @@
     )
 }
 
-/// Whether `bytes` are a complete request.
-fn is_complete(bytes: &[u8]) -> bool {
-    let text = String::from_utf8_lossy(bytes).to_lowercase();
-    let Some((head, body)) = text.split_once("\r\n\r\n") else {
-        return false;
-    };
-    let length = head
-        .lines()
-        .find_map(|line| line.strip_prefix("content-length: "));
-    match length.and_then(|length| length.trim().parse::<usize>().ok()) {
-        Some(length) => body.len() >= length,
-        None => !head.contains("chunked") || body.ends_with("0\r\n\r\n"),
-    }
-}
-
-/// Starts a target that responds to a path that ends with `/MS` after that many milliseconds; the
-/// body of the response is the path.
-async fn start_delayed_target() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("the listener is bound");
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            tokio::spawn(async move {
-                let mut request = Vec::new();
-                while matches!(stream.read_buf(&mut request).await, Ok(count) if count > 0) {
-                    if !is_complete(&request) {
-                        continue;
-                    }
-                    let text = String::from_utf8_lossy(&request).into_owned();
-                    let path = text.split(' ').nth(1).unwrap_or_default();
-                    let delay = path.rsplit('/').next().and_then(|last| last.parse().ok());
-                    tokio::time::sleep(Duration::from_millis(delay.unwrap_or(0))).await;
-                    let length = path.len();
-                    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
-                    if stream.write_all((head + path).as_bytes()).await.is_err() {
-                        return;
-                    }
-                    request.clear();
-                }
-            });
-        }
-    });
-    address
-}
-
 async fn start_fleet() -> Fleet {
     Fleet::start(Plan {
-        target_override: Some((0, start_delayed_target().await)),
+        target_override: Some((0, scripted_target::start().await)),
         extra_settings: "[run]\nserve_out_ms = 0\nlinger_ms = 0\n",
         slots: 32,
         ..Plan::new(&[("desk", 1), ("shop", 1)])
@@ -264,3 +220,19 @@
     assert!(responses[0].ends_with("/read/400"), "{responses:#?}");
     assert!(responses[1].ends_with("/read/300"), "{responses:#?}");
 }
+
+/// Guards against responses that are dropped because hyper refuses the request between them.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_request_behind() {
+    let fleet = start_fleet().await;
+    let mut stream = connect(&fleet).await;
+    let requests = get(400) + "GET :// HTTP/1.1\r\nhost: desk\r\n\r\n" + &get(200);
+    stream.write_all(requests.as_bytes()).await.expect("sent");
+    let responses = read_to_end(&mut stream).await;
+    assert_eq!(responses.len(), 2, "{responses:#?}");
+    assert!(responses[0].ends_with("/read/400"), "{responses:#?}");
+    assert!(responses[1].starts_with("400 "), "{responses:#?}");
+    assert!(responses[1].contains("problem+json"), "{responses:#?}");
+    let answered = fleet.log("shop-1").matches("\"event\":400").count();
+    assert_eq!(answered, 1, "the request behind the refused one ran");
+}
