Keep responses that a slow caller has not read yet

What callers saw: 126,932 of 1,000,000 bytes of a complete response, then ECONNRESET.

Cause: a socket that is reset, or closed with unread bytes, discards its send buffer. The daemon reset a connection as soon as a later response broke off, and at a stop closed it 500 ms after the last write, with an unread request on it. Class: the end of one request ends the responses of others.

Change: a response that breaks off is followed by an orderly close, since its length or its chunks show that it is incomplete; only HTTP/1.0, whose responses may end with the connection, still gets the reset, and has nothing before it. At a stop, a socket with unread bytes is kept until the caller closes it, up to the drain deadline.

--- a/crates/basilbay_daemon/src/pipeline.rs
+++ b/crates/basilbay_daemon/src/pipeline.rs
@@ -13,13 +13,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, BytesMut};
+use futures::FutureExt;
 use http::Request;
 use http::header::{CONNECTION, HeaderValue};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, Interest, ReadHalf, WriteHalf};
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -49,6 +50,9 @@
 /// the caller could lose the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time between two checks whether the caller has closed a connection that stays unread.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time limit for the rest of request headers that had arrived in part when the daemon stopped.
 const STOP_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -107,8 +111,8 @@
     /// Number of bytes that had arrived when the daemon stopped and are not yet assigned to a
     /// request: their requests are still served. `None` while the daemon runs.
     arrived: Option<usize>,
-    /// Whether a part of the first pending response has been written.
-    has_partial_response: bool,
+    /// Whether the latest request is of HTTP/1.0, whose responses may end with the connection.
+    is_http10: bool,
     /// Framing error in the received bytes; it is reported after all pending responses.
     error: Option<framing::Error>,
 }
@@ -126,7 +130,7 @@
         closing: Arc::default(),
         is_closing: false,
         arrived: None,
-        has_partial_response: false,
+        is_http10: false,
         error: None,
     };
     let mut response = BytesMut::with_capacity(READ_BYTES);
@@ -134,10 +138,6 @@
         if let Err(error) = connection.split_requests().await {
             tracing::info!(fault = ?error, "closing connection: malformed request body");
             connection.abandon_upload();
-            if connection.pending.is_empty() && connection.has_partial_response {
-                reset(&reader);
-                return;
-            }
         }
         if connection.pending.is_empty() {
             if let Some(error) = connection.error {
@@ -184,15 +184,17 @@
             read = read_response(&mut connection.pending, &mut response) => {
                 match read {
                     Ok(0) if !connection.finish_response().await => {
-                        // A caller that reads until the end of the connection would take an orderly
-                        // close for the end of the response.
-                        reset(&reader);
                         connection.drop_pending("incomplete response before them");
-                        return;
+                        if connection.is_http10 {
+                            // An orderly close would look like the end of the response.
+                            reset(&reader);
+                            return;
+                        }
+                        // A reset would discard earlier responses that the caller has not read yet.
+                        break;
                     }
                     Ok(0) => {}
                     Ok(_) => {
-                        connection.has_partial_response = true;
                         if writer.write_all_buf(&mut response).await.is_err() {
                             connection.drop_pending("the caller does not receive");
                             return;
@@ -219,7 +221,7 @@
     }
     let is_announced = connection.closing.is_announced.load(Ordering::Acquire);
     if connection.arrived.is_some() && !is_announced {
-        close_unread(reader, writer).await;
+        close_unread(reader, writer, daemon.drain_deadline()).await;
     } else {
         close(reader, writer).await;
     }
@@ -256,17 +258,27 @@
 async fn close_unread(
     mut reader: tokio::net::tcp::OwnedReadHalf,
     mut writer: tokio::net::tcp::OwnedWriteHalf,
+    deadline: Instant,
 ) {
     if writer.shutdown().await.is_err() {
         return;
     }
-    let closed = async {
-        if matches!(reader.peek(&mut [0]).await, Ok(count) if count > 0) {
-            std::future::pending::<()>().await;
+    let linger_until = Instant::now() + LINGER_TIMEOUT;
+    loop {
+        let ready = reader.ready(Interest::READABLE).now_or_never();
+        if matches!(ready, Some(Ok(ready)) if ready.is_read_closed()) {
+            return;
         }
-    };
-    // Unread bytes reset the connection, and the caller must have the last response by then.
-    let _ = tokio::time::timeout(LINGER_TIMEOUT, closed).await;
+        // Closing a socket with unread bytes resets the connection, and the caller may not have read
+        // the last response yet.
+        let peeked = reader.peek(&mut [0]).now_or_never();
+        let has_unread = matches!(peeked, Some(Ok(count)) if count > 0);
+        let until = if has_unread { deadline } else { linger_until };
+        if Instant::now() >= until {
+            return;
+        }
+        tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+    }
 }
 
 /// Makes the connection end with a reset.
@@ -410,6 +422,7 @@
         if let Some(arrived) = &mut self.arrived {
             *arrived = arrived.saturating_sub(head.length);
         }
+        self.is_http10 = head.is_http10;
         if head.closes {
             self.accept_no_more();
         }
@@ -467,7 +480,6 @@
         let Some(pending) = self.pending.pop_front() else {
             return true;
         };
-        self.has_partial_response = false;
         let is_complete = pending.task.await.unwrap_or(false);
         // If the body of the finished request is incomplete, the start of the next one is unknown.
         if self.pending.is_empty() && self.upload.is_some() {
