Refuse what could outlast the drain deadline once a stop has lingered

What callers saw: a request sent 4.7 s after SIGTERM ran at another service's target, and its connection ended at 5.5 s without an answer.

Cause: the ports stay open while the local target works, since it may call other services, up to the drain deadline. Until then requests of any length were accepted, and at the deadline the process ends with all of them.

Ruled out: closing the callers' port after the linger time. The running requests of the local target make their calls through it.

Change: after the linger time a request is accepted only if its deadline comes before the drain deadline. Others are refused as not run, and go elsewhere.

--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -111,6 +111,8 @@
     pub(crate) is_stopping: AtomicBool,
     /// Whether the local target is closed for good, after the drain delay.
     pub(crate) is_leaving: AtomicBool,
+    /// Whether the linger time of a stop has passed.
+    pub(crate) has_lingered: AtomicBool,
     /// When requests that still run are aborted; empty until the daemon was asked to stop.
     pub(crate) drain_deadline: OnceLock<Instant>,
     publisher: Mutex<Publisher>,
@@ -180,6 +182,7 @@
             local: ArcSwap::from_pointee(Target::default()),
             is_stopping: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
+            has_lingered: AtomicBool::new(false),
             drain_deadline: OnceLock::new(),
             publisher: Mutex::new(Publisher::new(now)),
             view: ArcSwap::from_pointee(View::empty()),
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -94,6 +94,14 @@
     let trace = Context::from_headers(&parts.headers, daemon.next_seed()).child(daemon.next_seed());
     let mut call = Call::new(parts, spec, trace, now);
     call.caller = Some(caller);
+    if daemon
+        .latest_deadline()
+        .is_some_and(|latest| call.deadline > latest)
+    {
+        let detail = "the daemon stops before the deadline of the request";
+        let problem = Problem::not_run(Cause::Leaving, detail);
+        return Err(call.spec.early_refusal(problem));
+    }
     let headers = &mut call.headers;
     headers.remove(&daemon.dialect.expected_run);
     let caller = &daemon.settings.service;
--- a/crates/basilbay_daemon/src/local.rs
+++ b/crates/basilbay_daemon/src/local.rs
@@ -98,6 +98,17 @@
         *self.drain_deadline.get_or_init(|| Instant::now() + timeout)
     }
 
+    /// Accepts no more requests that may still run at the drain deadline, where they are aborted.
+    pub fn end_linger(&self) {
+        self.has_lingered.store(true, Ordering::Release);
+    }
+
+    /// Latest deadline of requests that are accepted; `None` while all are.
+    pub fn latest_deadline(&self) -> Option<Instant> {
+        let has_lingered = self.has_lingered.load(Ordering::Acquire);
+        has_lingered.then(|| self.drain_deadline())
+    }
+
     /// Closes the local target for the rest of the process: it accepts no further requests.
     pub fn leave(&self) {
         self.is_leaving.store(true, Ordering::Release);
--- a/crates/basilbay_daemon/src/stop.rs
+++ b/crates/basilbay_daemon/src/stop.rs
@@ -54,6 +54,8 @@
     // Requests that were sent before the announcement arrived are refused, and retried elsewhere,
     // instead of failing on a closed port.
     tokio::time::sleep_until((stopping_at + daemon.settings.linger).into()).await;
+    daemon.end_linger();
+    // The target may call other services until its requests end, so the ports stay open.
     while !daemon.admission.is_idle() && Instant::now() < deadline {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
