Give a late peer's request up only if it can run elsewhere

What callers saw: 502 after 1.0 s, "did not answer a ping within 400ms", with 9 s left, for a safe request that was running.

Cause: a missed ping says that a link is slow or its peer has no processor. It was taken as the end of each repeatable request there, also if nothing could take the request over: no other target, no retry in the budget, a body that is gone.

Change: link::Repeat. The request is left only while a retry is in the budget, its allowance and deadline permit one, and another target accepts requests; until then its response is awaited. Liveness still keeps new requests away from the peer.

Not changed: with another target and a retry at hand the first run is still given up; the caller gets the answer of the second.

--- a/crates/basilbay_daemon/src/attempt.rs
+++ b/crates/basilbay_daemon/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::daemon::{Daemon, Shard};
 use crate::entry;
 use crate::hop::{self, Exchange};
+use crate::link::Repeat;
 use crate::response::Reply;
 use crate::target;
 
@@ -70,10 +71,11 @@
         payload: &mut Payload,
     ) -> Completion {
         let may_hedge = attempts.idempotent && payload.is_complete();
+        let may_repeat = attempts.idempotent && payload.is_replayable();
         let delay = self.shard.router().hedge_delay().filter(|_| may_hedge);
         let first_id = pick.id.clone();
         let suspect = attempts.may_have_run() || self.was_aborted();
-        let first = self.attempt(pick, attempts, body, suspect);
+        let first = self.attempt(pick, attempts, body, suspect, may_repeat);
         let Some(delay) = delay else {
             return first.await;
         };
@@ -87,7 +89,7 @@
         // A request that crashes targets may run beside this one and be hedged as well. The hedge is
         // marked as suspect, so that the two do not share a second target: after two shared crashes it
         // would be impossible to determine which of them is the cause.
-        let second = self.attempt(pick, attempts, body, true);
+        let second = self.attempt(pick, attempts, body, true, may_repeat);
         tokio::pin!(second);
         let (first_done, last_done) = tokio::select! {
             completion = &mut first => {
@@ -122,11 +124,7 @@
     ) -> Option<(Pick, Body)> {
         let now = Instant::now();
         let mut router = self.shard.router();
-        let targets = router.cluster.targets.iter();
-        if !targets
-            .filter(|target| target.id != *first_id)
-            .any(|target| target.accepts_requests(now))
-        {
+        if !router.has_alternative(first_id, now) {
             return None;
         }
         if !attempts.try_hedge(&mut router.budget, now) {
@@ -151,6 +149,7 @@
         attempts: &Attempts,
         body: Body,
         suspect: bool,
+        may_repeat: bool,
     ) -> impl Future<Output = Completion> + use<'a> {
         let options = Options {
             role: Role::Run,
@@ -158,7 +157,7 @@
             may_wait: pick.may_wait,
             suspect,
         };
-        self.send(pick.id, options, body)
+        self.send(pick.id, options, body, may_repeat.then_some(*attempts))
     }
 
     fn was_aborted(self) -> bool {
@@ -166,14 +165,21 @@
         suspects.was_aborted(self.call.fingerprint, Instant::now())
     }
 
-    async fn send(self, id: InstanceId, options: Options, body: Body) -> Completion {
+    /// Sends the request to a target; `attempts` is given if it may be sent again.
+    async fn send(
+        self,
+        id: InstanceId,
+        options: Options,
+        body: Body,
+        attempts: Option<Attempts>,
+    ) -> Completion {
         let guard = InFlight {
             shard: self.shard,
             id: id.clone(),
             call_id: self.call_id,
             is_finished: false,
         };
-        let exchange = self.exchange(&id, options, body).await;
+        let exchange = self.exchange(&id, options, body, attempts).await;
         guard.finish(&exchange);
         let suspects = &self.daemon.suspects;
         suspects.record_attempt(self.call.fingerprint, &exchange.reply, Instant::now());
@@ -183,7 +189,13 @@
         }
     }
 
-    async fn exchange(self, id: &InstanceId, options: Options, body: Body) -> Exchange {
+    async fn exchange(
+        self,
+        id: &InstanceId,
+        options: Options,
+        body: Body,
+        attempts: Option<Attempts>,
+    ) -> Exchange {
         let daemon = self.daemon;
         if *id == daemon.settings.id {
             return Exchange {
@@ -196,7 +208,16 @@
         match view.roster.instance(id) {
             Some(instance) => {
                 let address = instance.peer;
-                hop::send(daemon, self.call, id, address, options, body).await
+                let can_run_elsewhere = || {
+                    let (now, router) = (Instant::now(), self.shard.router());
+                    let again = attempts.is_some_and(|it| it.may_run_again(&router.budget, now));
+                    again && router.has_alternative(id, now)
+                };
+                let repeat = match attempts {
+                    Some(_) => Repeat::Elsewhere(&can_run_elsewhere),
+                    None => Repeat::Never,
+                };
+                hop::send(daemon, self.call, id, address, options, body, repeat).await
             }
             None => Exchange {
                 reply: Reply::Problem(Problem::not_run(
--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -24,6 +24,7 @@
 
 use crate::body::{self, Body};
 use crate::daemon::Daemon;
+use crate::link::Repeat;
 use crate::report;
 use crate::traffic::Traffic;
 
@@ -340,7 +341,7 @@
     let link = daemon.links.get(peer, address);
     let exchange = async {
         let response = link
-            .send(request, true)
+            .send(request, Repeat::Elsewhere(&|| true))
             .await
             .map_err(|failure| anyhow::anyhow!("no response to {path}: {failure:?}"))?;
         anyhow::ensure!(
--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -25,6 +25,7 @@
 use crate::call::{Call, Options};
 use crate::control;
 use crate::daemon::Daemon;
+use crate::link::Repeat;
 use crate::owner;
 use crate::pool::Failure;
 use crate::request::Spec;
@@ -49,7 +50,8 @@
     pub is_reachable: bool,
 }
 
-/// Sends a request to another daemon and awaits the result.
+/// Sends a request to another daemon and awaits the result; `repeat` tells what may be done with it if
+/// that daemon is gone.
 pub async fn send(
     daemon: &Arc<Daemon>,
     call: &Call,
@@ -57,6 +59,7 @@
     address: SocketAddr,
     options: Options,
     body: Body,
+    repeat: Repeat<'_>,
 ) -> Exchange {
     let version = daemon.view().config.version;
     let now = Instant::now();
@@ -65,8 +68,7 @@
     let request = call.peer_request(&hop, trace, body);
     let link = daemon.links.get(peer, address);
     let deadline = call.deadline + REFUSAL_GRACE;
-    let sent =
-        tokio::time::timeout_at(deadline.into(), link.send(request, call.spec.idempotent)).await;
+    let sent = tokio::time::timeout_at(deadline.into(), link.send(request, repeat)).await;
     let problem = match sent {
         Ok(Ok(response)) => return read_response(response, deadline).await,
         Ok(Err(Failure::NotSent(error))) => {
--- a/crates/basilbay_daemon/src/link.rs
+++ b/crates/basilbay_daemon/src/link.rs
@@ -53,6 +53,16 @@
 /// Flow-control window of the whole connection.
 const CONNECTION_WINDOW_BYTES: u32 = 4 * 1024 * 1024;
 
+/// What may be done with a request whose peer does not answer a ping.
+#[derive(Clone, Copy)]
+pub enum Repeat<'a> {
+    /// It must not be sent again, so its response is awaited.
+    Never,
+    /// It may be sent again. Its response is awaited until the function tells that it can be run
+    /// elsewhere: the peer may be busy and still work on it.
+    Elsewhere(&'a (dyn Fn() -> bool + Sync)),
+}
+
 /// The connection to one other daemon.
 #[derive(Debug)]
 pub struct Link {
@@ -72,14 +82,15 @@
         })
     }
 
-    /// Sends a request; `is_repeatable` tells whether it may be sent again if the peer is gone. If the
-    /// open connection turns out to be closed before the request was written, the request is sent on a
-    /// new connection.
+    /// Sends a request; `repeat` tells what may be done with it if the peer is gone. If the open
+    /// connection turns out to be closed before the request was written, the request is sent on a new
+    /// connection.
     pub async fn send(
         &self,
         mut request: Request<Body>,
-        is_repeatable: bool,
+        repeat: Repeat<'_>,
     ) -> std::result::Result<Response<Incoming>, Failure> {
+        let is_repeatable = matches!(repeat, Repeat::Elsewhere(_));
         loop {
             let (mut sender, is_reused) = self.sender().await.map_err(Failure::NotSent)?;
             let check = self.liveness().check(is_repeatable, Instant::now());
@@ -98,7 +109,7 @@
             let answered = tokio::select! {
                 biased;
                 answered = sender.try_send_request(request) => answered,
-                error = self.watch(pings), if is_repeatable => return Err(Failure::Interrupted(error)),
+                error = self.watch(pings, repeat) => return Err(Failure::Interrupted(error)),
             };
             match answered {
                 Ok(response) => {
@@ -134,15 +145,22 @@
         }
     }
 
-    /// Waits until the peer proves to be unreachable while a request waits for its response.
-    async fn watch(&self, sender: SendRequest<Body>) -> anyhow::Error {
+    /// Waits until the peer proves to be unreachable while a request waits for its response, and the
+    /// request can be run elsewhere.
+    async fn watch(&self, sender: SendRequest<Body>, repeat: Repeat<'_>) -> anyhow::Error {
+        let Repeat::Elsewhere(can_run) = repeat else {
+            return std::future::pending().await;
+        };
         loop {
             tokio::time::sleep(WATCH_INTERVAL).await;
             let check = self.liveness().check(false, Instant::now());
             if check == Check::Send {
                 continue;
             }
-            if let Err(error) = self.ping(sender.clone(), WATCH_TIMEOUT).await {
+            let ping = self.ping(sender.clone(), WATCH_TIMEOUT).await;
+            if let Err(error) = ping
+                && can_run()
+            {
                 return error;
             }
         }
--- a/crates/basilbay_daemon/src/owner.rs
+++ b/crates/basilbay_daemon/src/owner.rs
@@ -29,6 +29,7 @@
 use crate::daemon::Daemon;
 use crate::entry;
 use crate::hop;
+use crate::link::Repeat;
 use crate::response::{self, Reply};
 
 /// Maximum number of keys that one daemon stores; at about 100 bytes each they take about 20 MB.
@@ -143,7 +144,16 @@
         may_wait: true,
         suspect: false,
     };
-    let exchange = hop::send(daemon, &call, &owner, instance.peer, options, body).await;
+    let exchange = hop::send(
+        daemon,
+        &call,
+        &owner,
+        instance.peer,
+        options,
+        body,
+        Repeat::Never,
+    )
+    .await;
     match exchange.reply {
         // This request did not run, but an earlier one with the same key may have.
         Reply::Problem(problem) if problem.cause == Cause::DeadlinePassed => {
--- a/crates/basilbay_daemon/tests/stop_running.rs
+++ b/crates/basilbay_daemon/tests/stop_running.rs
@@ -84,3 +84,27 @@
         stopping_at.elapsed()
     );
 }
+
+/// Guards against a running request that a stopping entry daemon breaks off because another message on
+/// its link, a ping, is late.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_ping_at_stop() {
+    let fleet = start_fleet().await;
+    let mut stream = TcpStream::connect(fleet.entry("shop-1"))
+        .await
+        .expect("a connection");
+    stream
+        .write_all(get("desk", "1500").as_bytes())
+        .await
+        .expect("sent");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let slow = basilbay_fakes::proxy::fault::Faults {
+        delay_ms: 250.0,
+        ..Default::default()
+    };
+    assert!(fleet.proxy.set_faults("peer-desk-1", slow));
+    fleet.signal("shop-1", Signal::TERM);
+    let (bytes, error) = read_to_end(&mut stream).await;
+    let text = String::from_utf8_lossy(&bytes);
+    assert!(text.starts_with("HTTP/1.1 200"), "{error:?} {text}");
+}
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -84,6 +84,11 @@
         self.tokens -= 1.0;
         true
     }
+
+    /// Whether a retry could be taken now.
+    pub fn has_retry(&self, now: Instant) -> bool {
+        self.clone().withdraw(now)
+    }
 }
 
 /// Additional runs that a call may still cause at this level and further downstream.
@@ -168,6 +173,12 @@
         self.may_have_run
     }
 
+    /// Whether the request could be run again after an attempt that may have run.
+    pub fn may_run_again(&self, budget: &Budget, now: Instant) -> bool {
+        let allowed = self.idempotent && now < self.deadline && self.allowance.local > 0;
+        allowed && self.aborted_attempts < MAX_ABORTED_ATTEMPTS && budget.has_retry(now)
+    }
+
     /// Whether a second attempt may run in parallel with a first one that has not responded for
     /// long. A hedge counts as a second run, so `true` consumes both the allowance and a retry of
     /// the budget.
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -283,6 +283,12 @@
         self.cluster.update_load(id, load, now);
     }
 
+    /// Whether another target than `id` accepts requests.
+    pub fn has_alternative(&self, id: &str, now: Instant) -> bool {
+        let mut others = self.cluster.targets.iter();
+        others.any(|target| &*target.id != id && target.accepts_requests(now))
+    }
+
     /// Median service time that warm targets other than `own` reported recently; `None` without
     /// reports.
     pub fn sibling_latency(&self, own: &str, now: Instant) -> Option<Duration> {
