Answer pulls of restated configurations with edits

What callers saw: at a start of all, daemons pulled the same configuration again and again in full.

Cause: each full read of the platform has a version of its own, and edits were known only to versions that the sender itself had held.

Change: a pull states a digest of the text without the line of its version. A sender that holds or held a text with this digest answers with edits of it, and the receiver checks the digest of the result as before. A daemon that states no digest gets the same answers as before. The new parameter of the pull is the only change in basilbay_daemon.

Ruled out: versions taken from the newest item (they decrease when an item is removed).

In gossip.rs, pause.rs and version.rs only calls got the new argument. The harness counts responses and can return a version of its own for each first read; its response sizes moved to support/account.rs.

--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -178,8 +178,12 @@
         Action::ReadContacts => {
             tokio::spawn(read_contacts(daemon.clone()));
         }
-        Action::PullConfig { pull, have } => {
-            tokio::spawn(pull_config(daemon.clone(), pull, have));
+        Action::PullConfig {
+            pull,
+            have,
+            content,
+        } => {
+            tokio::spawn(pull_config(daemon.clone(), pull, have, content));
         }
         Action::WatchConfig { pull, after } => {
             let task = tokio::spawn(watch_config(daemon.clone(), pull, after));
@@ -220,11 +224,12 @@
     apply_actions(&daemon);
 }
 
-async fn pull_config(daemon: Arc<Daemon>, pull: Pull, have: Version) {
+async fn pull_config(daemon: Arc<Daemon>, pull: Pull, have: Version, content: Option<u64>) {
     match &pull.source {
         Source::Platform => read_config(&daemon, &pull, None).await,
         Source::Peer { id, address } => {
-            let path = format!("{CONFIG_PATH}?have={have}");
+            let digest = content.map(|digest| format!("&digest={digest}"));
+            let path = format!("{CONFIG_PATH}?have={have}{}", digest.unwrap_or_default());
             let pulled = pull_from_peer::<ConfigBody>(&daemon, id, *address, &path).await;
             let now = Instant::now();
             let mut node = daemon.control.node();
@@ -362,7 +367,7 @@
     let now = Instant::now();
     let bytes = match path {
         PING_PATH => Vec::new(),
-        CONFIG_PATH => frame::encode(&daemon.control.node().serve_config(have, now)),
+        CONFIG_PATH => frame::encode(&daemon.control.node().serve_config(have, digest, now)),
         ROSTER_PATH => frame::encode(&daemon.control.node().serve_roster(have, digest, now)),
         _ => return None,
     };
--- a/crates/basilbay_membership/src/action.rs
+++ b/crates/basilbay_membership/src/action.rs
@@ -55,6 +55,9 @@
         pull: Pull,
         /// Active version; 0 if there is none or the full text is needed.
         have: Version,
+        /// Digest of the active text without its version; `None` if there is none or the full text
+        /// is needed.
+        content: Option<u64>,
     },
     /// Long-poll the configuration service for [`crate::reader::WATCH_TIMEOUT`].
     ///
--- a/crates/basilbay_membership/src/node/config.rs
+++ b/crates/basilbay_membership/src/node/config.rs
@@ -59,9 +59,15 @@
         self.pull_newer(now);
     }
 
-    /// Answers a pull of a peer. Only a node that is ready states that a version is the newest it
+    /// Answers a pull of a peer; `content` is the digest of its text without the version, if it states
+    /// one. Only a node that is ready states that a version is the newest it
     /// knows, because a paused peer treats this as confirmation of its view.
-    pub fn serve_config(&mut self, have: Version, now: Instant) -> ConfigBody {
+    pub fn serve_config(
+        &mut self,
+        have: Version,
+        content: Option<u64>,
+        now: Instant,
+    ) -> ConfigBody {
         self.observe(now);
         let version = self.config_view.version();
         let may_confirm = self.readiness(now).is_ready();
@@ -72,7 +78,7 @@
             text: Text::Unchanged,
         };
         if have < version {
-            body.text = self.config_view.history().text_since(have);
+            body.text = self.config_view.history().text_since(have, content);
         } else if !may_confirm {
             body.version = 0;
         }
--- a/crates/basilbay_membership/src/node/tick.rs
+++ b/crates/basilbay_membership/src/node/tick.rs
@@ -92,7 +92,12 @@
         } else {
             self.peers.config.in_flight = Some(in_flight);
         }
-        self.push_action(Action::PullConfig { pull, have });
+        let content = self.config_view.content().filter(|_| have > 0);
+        self.push_action(Action::PullConfig {
+            pull,
+            have,
+            content,
+        });
     }
 
     pub(super) fn send_leaving(&mut self) {
--- a/crates/basilbay_membership/src/view.rs
+++ b/crates/basilbay_membership/src/view.rs
@@ -20,7 +20,7 @@
 use crate::history::History;
 
 /// Name of the published file, as it appears in findings.
-const FILE: &str = "configuration";
+pub(crate) const FILE: &str = "configuration";
 
 /// Result of offering a configuration or roster.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,6 +100,11 @@
         self.highest_seen.max(self.version())
     }
 
+    /// Digest of the active text without its version; `None` before the first.
+    pub fn content(&self) -> Option<u64> {
+        self.history.content()
+    }
+
     /// History of accepted texts.
     pub fn history(&mut self) -> &mut History {
         &mut self.history
--- a/crates/basilbay_membership/tests/gossip.rs
+++ b/crates/basilbay_membership/tests/gossip.rs
@@ -28,7 +28,7 @@
 
 fn config_pulls(actions: Vec<Action>) -> Vec<(Pull, u64)> {
     let pulls = actions.into_iter().filter_map(|action| match action {
-        Action::PullConfig { pull, have } => Some((pull, have)),
+        Action::PullConfig { pull, have, .. } => Some((pull, have)),
         _ => None,
     });
     pulls.collect()
@@ -252,7 +252,7 @@
                 to.port() - 1
             )
         }
-        Action::PullConfig { pull, have } => {
+        Action::PullConfig { pull, have, .. } => {
             format!("pull config from {:?}, have {have}", pull.source)
         }
         Action::WatchConfig { after, .. } => format!("watch config after {after}"),
--- a/crates/basilbay_membership/tests/pause.rs
+++ b/crates/basilbay_membership/tests/pause.rs
@@ -123,7 +123,7 @@
             _ => None,
         });
     let pulls: Vec<Pull> = pulls.collect();
-    let digest = node.serve_config(0, now).digest;
+    let digest = node.serve_config(0, None, now).digest;
     let body = ConfigBody {
         format: 1,
         version: 1,
--- a/crates/basilbay_membership/tests/support/harness.rs
+++ b/crates/basilbay_membership/tests/support/harness.rs
@@ -2,6 +2,8 @@
 //! Times are in milliseconds.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+#[path = "account.rs"]
+pub(crate) mod account;
 #[path = "sample.rs"]
 pub(crate) mod sample;
 
@@ -17,18 +19,10 @@
 use basilbay_membership::reader::WATCH_TIMEOUT;
 use basilbay_model::id::Version;
 use basilbay_model::roster::Roster;
-use basilbay_wire::control::{ConfigBody, RosterBody};
 use basilbay_wire::datagram::{Body, Datagram};
 use basilbay_wire::frame;
 
-enum Response {
-    Text(Arc<str>),
-    Body(ConfigBody),
-    Unchanged,
-    Roster(Arc<Roster>),
-    RosterBody(RosterBody),
-    Failed,
-}
+use account::{Account, Reason, Response, Sender, kind, response_bytes};
 
 /// A pull of one part. A watch waits at the platform until `waits_until`, which is 0 for other
 /// pulls.
@@ -83,6 +77,9 @@
     pub platform_down: bool,
     /// Whether the instance list answers reads of an unchanged version without instances.
     pub conditional_reads: bool,
+    /// Version of the first read of each node, 0 before it, if the platform's revision advances
+    /// between reads; empty if all reads return the published versions.
+    pub own_versions: Vec<Version>,
     /// As-of time of a stale instance list; `None` for the current time.
     pub roster_as_of: Option<u64>,
 }
@@ -105,6 +102,8 @@
     pub contact_reads: usize,
     /// Number of contacts that the platform returns; 0 if it offers none.
     contacts: usize,
+    /// Responses to all nodes.
+    pub account: Account,
     pub log: Option<Vec<(u64, usize, Action)>>,
 }
 
@@ -131,6 +130,7 @@
             reads: Vec::new(),
             contact_reads: 0,
             contacts,
+            account: Account::default(),
             log: None,
         };
         fleet.faults.partitions = vec![0; nodes];
@@ -230,7 +230,10 @@
             },
             Input::Serve(requester, request) => {
                 let response = match request.part {
-                    Part::Config => Response::Body(node.serve_config(request.have, now)),
+                    Part::Config => {
+                        let body = node.serve_config(request.have, request.digest, now);
+                        Response::Body(body)
+                    }
                     Part::Roster => {
                         let body = node.serve_roster(request.have, request.digest, now);
                         Response::RosterBody(body)
@@ -269,8 +272,30 @@
         self.deliver(index, contacts);
     }
 
+    /// Configuration text and roster version that the platform returns to a node.
+    fn published(&mut self, index: usize) -> (Arc<str>, Version) {
+        let version = sample::version_of(&self.config);
+        let latest = self.faults.own_versions.iter().copied().max();
+        let newest = latest.unwrap_or(0).max(version).max(self.roster.version);
+        let is_reachable = !self.faults.cut_off[index] && !self.faults.platform_down;
+        let own = match self.faults.own_versions.get_mut(index) {
+            Some(own) if *own == 0 && is_reachable => {
+                *own = newest + 1;
+                *own
+            }
+            own => own.map_or(0, |own| *own),
+        };
+        let text = if own > version {
+            sample::with_version(&self.config, own)
+        } else {
+            self.config.clone()
+        };
+        (text, own.max(self.roster.version))
+    }
+
     fn read(&mut self, index: usize, request: Request) {
-        let newer = sample::version_of(&self.config) > request.have;
+        let (config, roster_version) = self.published(index);
+        let newer = sample::version_of(&config) > request.have;
         let response = match request.part {
             _ if self.faults.cut_off[index] && self.now >= request.waits_until => return,
             _ if self.faults.cut_off[index] => {
@@ -279,15 +304,14 @@
             _ if self.faults.platform_down => Response::Failed,
             Part::Roster => {
                 let mut roster = Roster::clone(&self.roster);
+                roster.version = roster_version;
                 roster.as_of_ms = self.faults.roster_as_of.unwrap_or(self.now);
                 if self.faults.conditional_reads && roster.version == request.have {
                     roster.instances.clear();
                 }
                 Response::Roster(roster.into())
             }
-            Part::Config if newer || request.waits_until == 0 => {
-                Response::Text(self.config.clone())
-            }
+            Part::Config if newer || request.waits_until == 0 => Response::Text(config),
             Part::Config if self.now < request.waits_until => {
                 return self.push(5, index, Input::Platform(request));
             }
@@ -304,9 +328,14 @@
         record.unconfirmed[request.part as usize] &= !confirms;
         let bytes = response_bytes(&response);
         record.bytes_total += bytes;
-        if request.pull.source == Source::Platform {
+        let sender = if request.pull.source == Source::Platform {
             record.bytes_read += bytes;
-        }
+            Sender::Platform
+        } else {
+            Sender::Peer
+        };
+        let reason = Reason::of(request.have);
+        self.account.add(kind(&response), sender, reason, bytes);
         match (response, request.part) {
             (Response::Text(text), _) => node.receive_config_text(&text, &request.pull, now),
             (Response::Body(body), _) => node.receive_config_body(body, &request.pull, now),
@@ -331,8 +360,12 @@
                     self.contact_reads += 1;
                     self.deliver(index, Input::ContactsRead);
                 }
-                Action::PullConfig { pull, have } => {
-                    self.send_request(index, Part::Config, (have, None), 0, pull);
+                Action::PullConfig {
+                    pull,
+                    have,
+                    content,
+                } => {
+                    self.send_request(index, Part::Config, (have, content), 0, pull);
                 }
                 Action::PullRoster { pull, have, digest } => {
                     self.send_request(index, Part::Roster, (have, digest), 0, pull);
@@ -432,26 +465,3 @@
             .all(|(node, _)| node.readiness(self.instant()).is_ready())
     }
 }
-
-fn response_bytes(response: &Response) -> usize {
-    match response {
-        Response::Text(text) => text.len(),
-        Response::Body(body) => frame::encode(body).len(),
-        // Estimated from the first instance: the sizes differ by a few bytes only, and encoding all
-        // instances each time is slow.
-        Response::Roster(roster) => instances_bytes(&roster.instances),
-        Response::RosterBody(body) => {
-            let updated = body.changes.as_ref().map_or(0, |changes| {
-                instances_bytes(&changes.updated) + 16 * changes.removed.len()
-            });
-            instances_bytes(&body.roster.instances) + updated
-        }
-        Response::Unchanged | Response::Failed => 0,
-    }
-}
-
-fn instances_bytes(instances: &[basilbay_model::roster::Instance]) -> usize {
-    instances.first().map_or(40, |first| {
-        40 + frame::encode(first).len() * instances.len()
-    })
-}
--- a/crates/basilbay_membership/tests/support/sample.rs
+++ b/crates/basilbay_membership/tests/support/sample.rs
@@ -24,6 +24,12 @@
     line.and_then(|version| version.parse().ok()).unwrap_or(0)
 }
 
+/// A text that [`text`] returned, with another version.
+pub(crate) fn with_version(text: &str, version: Version) -> Arc<str> {
+    let old = format!("version = {}\n", version_of(text));
+    Arc::from(text.replacen(&old, &format!("version = {version}\n"), 1))
+}
+
 /// Address of a node.
 pub(crate) fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], index as u16 + 1))
--- a/crates/basilbay_membership/tests/version.rs
+++ b/crates/basilbay_membership/tests/version.rs
@@ -112,7 +112,7 @@
         let now = fleet.instant();
         let nodes = fleet.nodes.iter_mut();
         nodes
-            .map(|(node, _)| node.serve_config(1, now).digest)
+            .map(|(node, _)| node.serve_config(1, None, now).digest)
             .collect()
     };
     let before = digests(&mut fleet);
@@ -139,10 +139,10 @@
         id: 0,
     };
     node.receive_config_text(&text(2, "first"), &platform, now);
-    let digest = node.serve_config(0, now).digest;
+    let digest = node.serve_config(0, None, now).digest;
     node.take_actions();
     node.receive_config_text(&text(2, "second"), &platform, now);
-    assert_eq!(node.serve_config(0, now).digest, digest);
+    assert_eq!(node.serve_config(0, None, now).digest, digest);
     let conflict = Event::ConfigConflict {
         version: 2,
         source: Source::Platform,
@@ -177,8 +177,8 @@
         history.push(version, text(version, ""));
     }
     assert_eq!(history.versions().count(), MAX_VERSIONS);
-    assert!(matches!(history.text_since(98), Text::Edits(edits) if edits.len() == 1));
-    assert!(matches!(history.text_since(3), Text::Full(_)));
+    assert!(matches!(history.text_since(98, None), Text::Edits(edits) if edits.len() == 1));
+    assert!(matches!(history.text_since(3, None), Text::Full(_)));
     history.push(100, Arc::from("x\n".repeat(3 << 20)));
     assert_eq!(history.versions().collect::<Vec<_>>(), [100]);
 }
--- a/crates/basilbay_wire/src/control.rs
+++ b/crates/basilbay_wire/src/control.rs
@@ -7,7 +7,9 @@
 use basilbay_model::roster::{Instance, Roster};
 use serde::{Deserialize, Serialize};
 
-/// Path that serves the configuration; `?have=N` states the version that the client has.
+/// Path that serves the configuration; `?have=N` states the version that the client has, and
+/// `?have=N&digest=D` also the digest of its text without the version, which allows a response with
+/// edits to a version that the sender never had.
 pub const CONFIG_PATH: &str = "/basilbay/v1/config";
 
 /// Path that serves the roster; `?have=N` states the version that the client has, and
