Move readiness and sending of a node to modules of their own

The functions are moved without a change, except that those called from other modules of the node are visible to them.

--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -2,10 +2,13 @@
 //!
 //! The daemon passes inputs (ticks, heartbeats, responses to pulls) to a [`Node`] and, after each
 //! one, executes the [`Action`]s returned by [`Node::take_actions`]. `node/config` and
-//! `node/roster` handle the responses to pulls, and `node/tick` performs periodic work.
+//! `node/roster` handle the responses to pulls, `node/tick` performs periodic work, `node/send` sends
+//! heartbeats, and `node/ready` determines the readiness.
 
 mod config;
+mod ready;
 mod roster;
+mod send;
 mod tick;
 
 use std::net::SocketAddr;
@@ -15,23 +18,18 @@
 use basilbay_model::config::Config;
 use basilbay_model::id::{DomainId, InstanceId, RegionId, ServiceId, Version};
 use basilbay_model::roster::{Roster, Timestamp};
-use basilbay_wire::datagram::{Body, Datagram, Heartbeat};
-use basilbay_wire::frame;
+use basilbay_wire::datagram::Heartbeat;
 use basilbay_wire::load::State;
 use fastrand::Rng;
 
 use crate::action::{Action, Pull, PullId, Source};
 use crate::bootstrap::{Bootstrap, Contact};
 use crate::event::{Event, Part};
-use crate::gossip::{Bucket, EAGER_RESERVE_BYTES, Peers, ROUND_INTERVAL, UDP_IP_HEADER_BYTES};
+use crate::gossip::{Bucket, Peers, ROUND_INTERVAL};
 use crate::pause::Monitor;
 use crate::pull::{InFlight, Tracker};
 use crate::reader::{self, Backoff, MAX_JITTER};
-use crate::readiness::{
-    CATCH_UP_TIMEOUT, CUT_OFF_CONFIRMATION, CUT_OFF_SILENCE, ISOLATION_TIMEOUT, Missing, PEER_WAIT,
-    Readiness,
-};
-use crate::view::{ConfigView, RosterView, digest_prefix};
+use crate::view::{ConfigView, RosterView};
 
 /// Time after accepting a version during which a peer with an older one is not notified again,
 /// since the announcement may still be on its way.
@@ -249,33 +247,6 @@
         self.state = state;
     }
 
-    /// Whether new requests may be accepted at this time.
-    pub fn readiness(&self, now: Instant) -> Readiness {
-        if !self.pause_monitor.is_confirmed(now) {
-            return Readiness::Unconfirmed;
-        }
-        if let Some(missing) = self.missing(now) {
-            return Readiness::Starting(missing);
-        }
-        if !self.serves_alone && self.is_isolated(now) {
-            return Readiness::Isolated;
-        }
-        Readiness::Ready
-    }
-
-    /// Whether callers are better off elsewhere: no peer is heard, although the platform confirms that
-    /// there are some. Without that confirmation, the peers may have failed and this daemon be the last
-    /// one.
-    pub fn is_cut_off(&self, now: Instant) -> bool {
-        let is_silent = self
-            .peers
-            .last_message_at
-            .is_some_and(|at| now.saturating_duration_since(at) > CUT_OFF_SILENCE);
-        let advanced_at = self.peers.roster_advanced_at;
-        let is_confirmed = now.saturating_duration_since(advanced_at) < CUT_OFF_CONFIRMATION;
-        is_silent && is_confirmed && self.gossip_peers.has_peers()
-    }
-
     /// Handles a heartbeat of a peer.
     pub fn receive_heartbeat(
         &mut self,
@@ -337,46 +308,6 @@
         self.send_leaving();
     }
 
-    fn missing(&self, now: Instant) -> Option<Missing> {
-        let age = now.saturating_duration_since(self.started_at);
-        // Counted from the first roster: no peers are known before it.
-        let has_waited = self
-            .first_roster_at
-            .is_some_and(|first| now.saturating_duration_since(first) >= PEER_WAIT);
-        let is_behind = self.peers.config.is_behind(self.config_view.version())
-            || self.peers.roster.is_behind(self.roster_view.version());
-        if self.config_view.current().is_none() {
-            Some(Missing::Config)
-        } else if self.roster_view.roster().is_none() {
-            Some(Missing::Roster)
-        } else if self.peers.last_message_at.is_none() && !has_waited {
-            Some(Missing::Peer)
-        } else if is_behind && age < CATCH_UP_TIMEOUT && !self.has_started {
-            Some(Missing::NewerVersion)
-        } else {
-            None
-        }
-    }
-
-    fn is_isolated(&self, now: Instant) -> bool {
-        let last_contact = self.last_contact_at();
-        self.gossip_peers.has_peers()
-            && now.saturating_duration_since(last_contact) > ISOLATION_TIMEOUT
-    }
-
-    /// Last contact with a peer or the platform, but not before the start or the end of a pause.
-    fn last_contact_at(&self) -> Instant {
-        let resumed = self
-            .pause_monitor
-            .unconfirmed()
-            .map(|unconfirmed| unconfirmed.since);
-        let peer_at = self.peers.last_message_at.unwrap_or(self.started_at);
-        let platform_at = self.platform.responded_at.unwrap_or(self.started_at);
-        peer_at
-            .max(platform_at)
-            .max(resumed.unwrap_or(self.started_at))
-    }
-
     /// Detects a pause on any input, so that no decision is based on an outdated view.
     fn observe(&mut self, now: Instant) {
         if !self.pause_monitor.observe(now, self.last_pull_id + 1) {
@@ -461,66 +392,6 @@
         is_propagated && is_behind
     }
 
-    fn heartbeat(&self, now: Instant) -> Heartbeat {
-        let is_unready = !self.readiness(now).is_ready();
-        let is_participating = self.state != State::Leaving;
-        Heartbeat {
-            config_version: self.config_view.version(),
-            config_digest: digest_prefix(&self.config_view.digest()),
-            roster_version: self.roster_view.version(),
-            roster_as_of_ms: self.roster_view.as_of_ms(),
-            state: if is_unready && is_participating {
-                State::Unconfirmed
-            } else {
-                self.state
-            },
-        }
-    }
-
-    /// Sends heartbeats while the rate limit allows it.
-    fn send_heartbeats(&mut self, to: &[SocketAddr], reply: bool, reserve: u32, now: Instant) {
-        let body = Body::Heartbeat {
-            heartbeat: self.heartbeat(now),
-            reply,
-        };
-        let datagram = Datagram {
-            format: frame::FORMAT_VERSION,
-            origin: self.identity.id.clone(),
-            body,
-        };
-        let bytes = frame::encode(&datagram).len() + UDP_IP_HEADER_BYTES;
-        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
-        for address in to {
-            if !self.bucket.try_take(bytes, reserve, now) {
-                return;
-            }
-            self.actions.push(Action::Send {
-                to: *address,
-                body: datagram.body.clone(),
-            });
-        }
-    }
-
-    /// Notifies random peers of a new version immediately.
-    fn announce(&mut self, fanout: usize, now: Instant) {
-        self.announced_at = now;
-        let to = self.gossip_peers.select_eager(fanout, &mut self.random);
-        self.send_heartbeats(&to, false, 0, now);
-    }
-
-    fn send_round(&mut self, now: Instant) {
-        let is_silent = self
-            .peers
-            .last_message_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= reader::SILENCE_TIMEOUT);
-        let reply = is_silent || !self.readiness(now).is_ready();
-        let to = match &self.bootstrap {
-            Some(bootstrap) => bootstrap.select_round(&mut self.random),
-            None => self.gossip_peers.select_round(&mut self.random),
-        };
-        self.send_heartbeats(&to, reply, EAGER_RESERVE_BYTES, now);
-    }
-
     fn start_pull(&mut self, source: Source, deadline: Instant) -> (InFlight, Pull) {
         self.last_pull_id += 1;
         let in_flight = InFlight {
