Refuse body framing that hyper refuses, and limit trailers

What callers saw: a pipelined connection went on after a body that hyper and other readers refuse, so that bytes of that body were served as the next request. Lines and trailers had a limit only if they arrived in parts; trailers had none together.

Cause: the decoder counted two bytes after a chunk without reading them, took a chunk-size line without a digit for the last chunk (httparse returns size 0), accepted LF inside chunk extensions and as the end of trailers, and ended trailers at a line of white space. The head accepted a Unicode space in Content-Length, a length that hyper reserves, and Transfer-Encoding in HTTP/1.0. The limit of 8 KiB was checked only for incomplete lines.

Heads that only hyper refuses, such as an invalid URI, end the connection on both sides. Empty lines after the last request belong to none.

--- a/crates/basilbay_daemon/src/framing.rs
+++ b/crates/basilbay_daemon/src/framing.rs
@@ -2,12 +2,19 @@
 //!
 //! Input is the byte stream of a connection; the result is where the head of a request ends and where
 //! its body ends. Ambiguous framing, such as two different lengths, is an error that ends the
-//! connection: this prevents request smuggling.
+//! connection: this prevents request smuggling. Bytes that hyper refuses as the framing of a body are
+//! refused here too, since the next request would start at another place than hyper finds it.
 
 use crate::server::MAX_PARSED_HEADERS;
 
-/// Maximum length of a chunk-size line or a trailer line.
-const MAX_LINE_BYTES: usize = 8 * 1024;
+/// Maximum length of a chunk-size line, and of all trailers together.
+pub const MAX_LINE_BYTES: usize = 8 * 1024;
+
+/// End of a line.
+const CRLF: &[u8] = b"\r\n";
+
+/// Maximum length of a body: hyper reserves the two larger numbers.
+const MAX_BODY_BYTES: u64 = u64::MAX - 2;
 
 /// Why the next request on a connection cannot be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,11 +68,7 @@
     for header in request.headers.iter() {
         let name = header.name;
         if name.eq_ignore_ascii_case("content-length") {
-            let text = std::str::from_utf8(header.value).map_err(|_| Error::Malformed)?;
-            let text = text.trim();
-            let is_number = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
-            let length = text.parse().ok().filter(|_| is_number);
-            let encoding = Encoding::Length(length.ok_or(Error::Malformed)?);
+            let encoding = Encoding::Length(parse_length(header.value)?);
             if body
                 .replace(encoding)
                 .is_some_and(|other| other != encoding)
@@ -74,7 +77,8 @@
             }
         } else if name.eq_ignore_ascii_case("transfer-encoding") {
             let is_chunked = header.value.trim_ascii().eq_ignore_ascii_case(b"chunked");
-            if !is_chunked || body.replace(Encoding::Chunked).is_some() {
+            let is_allowed = request.version == Some(1);
+            if !is_chunked || !is_allowed || body.replace(Encoding::Chunked).is_some() {
                 return Err(Error::Malformed);
             }
         } else if name.eq_ignore_ascii_case("connection") {
@@ -90,6 +94,18 @@
     }))
 }
 
+fn parse_length(value: &[u8]) -> Result<u64> {
+    if !value.iter().all(u8::is_ascii_digit) {
+        return Err(Error::Malformed);
+    }
+    let text = std::str::from_utf8(value).map_err(|_| Error::Malformed)?;
+    let length = text.parse().map_err(|_| Error::Malformed)?;
+    if length > MAX_BODY_BYTES {
+        return Err(Error::Malformed);
+    }
+    Ok(length)
+}
+
 /// State machine that finds the end of a body in a byte stream.
 #[derive(Clone, Debug)]
 pub enum Decoder {
@@ -97,8 +113,10 @@
     Length(u64),
     /// A chunk-size line comes next.
     ChunkSize,
-    /// This many bytes of a chunk remain, including the CRLF after it.
+    /// This many bytes of a chunk remain.
     ChunkData(u64),
+    /// The CRLF after a chunk comes next.
+    ChunkEnd,
     /// Trailers up to an empty line.
     Trailers,
     /// The body is complete.
@@ -145,37 +163,89 @@
                     if *remaining > 0 {
                         return Ok(taken);
                     }
-                    *self = Self::ChunkSize;
+                    *self = Self::ChunkEnd;
                 }
-                Self::ChunkSize => match httparse::parse_chunk_size(bytes) {
-                    Ok(httparse::Status::Complete((length, 0))) => {
-                        taken += length;
-                        *self = Self::Trailers;
-                    }
-                    Ok(httparse::Status::Complete((length, size))) => {
-                        taken += length;
-                        *self = Self::ChunkData(size.checked_add(2).ok_or(Error::Malformed)?);
+                Self::ChunkEnd => {
+                    if !bytes.starts_with(CRLF) {
+                        let is_partial = CRLF.starts_with(bytes);
+                        return is_partial.then_some(taken).ok_or(Error::Malformed);
                     }
-                    Ok(httparse::Status::Partial) if bytes.len() > MAX_LINE_BYTES => {
-                        return Err(Error::Malformed);
-                    }
-                    Ok(httparse::Status::Partial) => return Ok(taken),
-                    Err(_) => return Err(Error::Malformed),
-                },
+                    taken += CRLF.len();
+                    *self = Self::ChunkSize;
+                }
+                Self::ChunkSize => {
+                    let Some((length, size)) = parse_chunk_size(bytes)? else {
+                        return Ok(taken);
+                    };
+                    taken += length;
+                    *self = if size == 0 {
+                        Self::Trailers
+                    } else {
+                        Self::ChunkData(size)
+                    };
+                }
                 Self::Trailers => {
-                    let Some(end) = bytes.iter().position(|byte| *byte == b'\n') else {
-                        if bytes.len() > MAX_LINE_BYTES {
-                            return Err(Error::Malformed);
-                        }
+                    let Some(length) = parse_trailers(bytes)? else {
                         return Ok(taken);
                     };
-                    let is_empty = bytes[..end].trim_ascii().is_empty();
-                    taken += end + 1;
-                    if is_empty {
-                        *self = Self::Done;
-                    }
+                    taken += length;
+                    *self = Self::Done;
                 }
             }
         }
     }
 }
+
+/// Length of the line at the start of `bytes` with its CRLF, at most `limit`; `None` while it is
+/// incomplete. A bare CR or LF, which others may take for the end of the line, is an error.
+fn line_length(bytes: &[u8], limit: usize) -> Result<Option<usize>> {
+    let window = &bytes[..bytes.len().min(limit)];
+    let Some(at) = window.iter().position(|byte| matches!(byte, b'\r' | b'\n')) else {
+        return match bytes.len() > limit {
+            true => Err(Error::Malformed),
+            false => Ok(None),
+        };
+    };
+    if bytes[at..].starts_with(CRLF) && at + CRLF.len() <= limit {
+        return Ok(Some(at + CRLF.len()));
+    }
+    let is_partial = CRLF.starts_with(&bytes[at..]);
+    is_partial.then_some(None).ok_or(Error::Malformed)
+}
+
+/// Parses a chunk-size line to its length and the size of the chunk; `None` while it is incomplete.
+fn parse_chunk_size(bytes: &[u8]) -> Result<Option<(usize, u64)>> {
+    // httparse takes a line without any digit for size 0.
+    if bytes
+        .first()
+        .is_some_and(|first| !first.is_ascii_hexdigit())
+    {
+        return Err(Error::Malformed);
+    }
+    let length = line_length(bytes, MAX_LINE_BYTES)?;
+    match httparse::parse_chunk_size(&bytes[..length.unwrap_or(bytes.len())]) {
+        Ok(httparse::Status::Complete(parsed)) => Ok(Some(parsed)),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(Error::Malformed),
+    }
+}
+
+/// Parses trailers to their length with the empty line that ends them; `None` while they are
+/// incomplete.
+fn parse_trailers(bytes: &[u8]) -> Result<Option<usize>> {
+    let mut end = 0;
+    loop {
+        let Some(length) = line_length(&bytes[end..], MAX_LINE_BYTES - end)? else {
+            return Ok(None);
+        };
+        end += length;
+        if length == CRLF.len() {
+            break;
+        }
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_PARSED_HEADERS];
+    match httparse::parse_headers(&bytes[..end], &mut headers) {
+        Ok(httparse::Status::Complete((length, _))) if length == end => Ok(Some(end)),
+        _ => Err(Error::Malformed),
+    }
+}
