Serve requests that arrive with the stop on new connections

What callers saw: a daemon that stopped reset connections whose HTTP/2 preface and first request had arrived, of callers and of other daemons, and closed HTTP/1 connections whose first bytes had arrived, without an answer.

Cause: hyper-util's connection is cancelled by `graceful_shutdown` while it reads the version of HTTP. For callers, `select!` chose at random between first bytes and the end of the time granted to them when the task was late.

Ruled out: connections without a request still end in time (stop::idle_connections).

--- a/crates/basilbay_daemon/src/server.rs
+++ b/crates/basilbay_daemon/src/server.rs
@@ -5,6 +5,7 @@
 
 use std::convert::Infallible;
 use std::net::IpAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
 use crate::daemon::Daemon;
@@ -126,37 +128,74 @@
             .initial_stream_window_size(UNADMITTED_BODY_BYTES);
     }
     let daemon = daemon.clone();
-    if side == Side::Callers {
-        let watcher = graceful.watcher();
-        tokio::spawn(async move {
-            let is_http2 = tokio::select! {
-                is_http2 = begins_as_http2(&stream) => is_http2,
-                () = stopped_without_request(&daemon) => return,
-            };
+    // The accepting task waits until all watchers are dropped.
+    let watcher = graceful.watcher();
+    tokio::spawn(async move {
+        if side == Side::Peers {
+            serve_with_hyper(&daemon, stream, side, client, &builder).await;
+        } else if let Some((stream, is_http2)) = first_bytes(&daemon, stream).await {
             if is_http2 {
-                let service =
-                    service_fn(move |request| handle(daemon.clone(), side, client, request));
-                let connection = builder.serve_connection(TokioIo::new(stream), service);
-                if let Err(error) = watcher.watch(connection.into_owned()).await {
-                    tracing::debug!(error, "HTTP/2 connection of caller {client} failed");
-                }
-                return;
+                serve_with_hyper(&daemon, stream, side, client, &builder).await;
+            } else {
+                pipeline::serve(daemon, stream, client).await;
             }
-            pipeline::serve(daemon, stream, client).await;
-            drop(watcher);
-        });
-        return;
-    }
-    let service = service_fn(move |request| handle(daemon.clone(), side, client, request));
-    let connection = builder
-        .serve_connection(TokioIo::new(stream), service)
-        .into_owned();
-    let connection = graceful.watch(connection);
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            tracing::debug!(error, "connection of daemon {client} failed");
         }
+        drop(watcher);
+    });
+}
+
+/// Serves a connection until one side closes it. After the stop, the first request is still awaited for
+/// [`FIRST_REQUEST_GRACE`]: hyper closes a connection whose preface it has not read yet.
+async fn serve_with_hyper(
+    daemon: &Arc<Daemon>,
+    stream: TcpStream,
+    side: Side,
+    client: IpAddr,
+    builder: &Builder<TokioExecutor>,
+) {
+    let is_requested = CancellationToken::new();
+    let service = service_fn(|request| {
+        is_requested.cancel();
+        handle(daemon.clone(), side, client, request)
     });
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let stopped = async {
+        daemon.stop.cancelled().await;
+        let first_request = is_requested.cancelled();
+        let _ = tokio::time::timeout(FIRST_REQUEST_GRACE, first_request).await;
+    };
+    let ended = tokio::select! {
+        biased;
+        ended = connection.as_mut() => ended,
+        () = stopped => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(error, ?side, "connection of {client} failed");
+    }
+}
+
+/// Waits for the first bytes of a connection, and returns whether it starts with the HTTP/2 preface;
+/// `None` if there are none some time after the stop.
+async fn first_bytes(daemon: &Daemon, mut stream: TcpStream) -> Option<(TcpStream, bool)> {
+    let is_http2 = tokio::select! {
+        biased;
+        is_http2 = begins_as_http2(&stream) => Some(is_http2),
+        () = stopped_without_request(daemon) => None,
+    };
+    if let Some(is_http2) = is_http2 {
+        return Some((stream, is_http2));
+    }
+    // The runtime may not have noticed bytes that have arrived, which the system knows.
+    let socket = stream.into_std().ok()?;
+    if !matches!(socket.peek(&mut [0]), Ok(count) if count > 0) {
+        return None;
+    }
+    stream = TcpStream::from_std(socket).ok()?;
+    let is_http2 = tokio::time::timeout(FIRST_REQUEST_GRACE, begins_as_http2(&stream)).await;
+    Some((stream, is_http2.ok()?))
 }
 
 /// Waits until the daemon has stopped and a new connection had time to send its first request.
