Estimate the service time of each kind of request

Callers saw short calls (36 ms, little time left) refused beside long uploads (170 ms), and uploads admitted that could not finish.

Cause: the gate had one mean for all kinds of a service. A request was refused if its time left was below that mean, or below the mean times the whole length of the queue, though requests with less time left start before the uploads ahead of them.

Change: a moving average per kind decides whether a request can still finish and when it must start to meet its goal. The expected wait is the sum of the averages of what starts before it. Each refusal by the average reduces it while other kinds get answers, so a kind cannot stay refused after a slow spell. Wait limits are unchanged.

Ruled out: the wait limits as the cause, which are the same before and after.

--- a/crates/basilbay_admission/src/lib.rs
+++ b/crates/basilbay_admission/src/lib.rs
@@ -12,6 +12,7 @@
 //! the results are decisions and actions. See docs/decisions/admission.md for the reasons.
 
 pub mod gate;
+pub mod kind;
 pub mod limit;
 pub mod probe;
 pub mod profile;
