--- a/crates/basilbay_admission/src/profile.rs
+++ b/crates/basilbay_admission/src/profile.rs
@@ -1,8 +1,9 @@
 //! Service-time statistics of the target, as measured by the gate.
 //!
 //! The input is the service time of each response. The output is a moving average over recent
-//! responses, for estimates of waiting times, one for each kind of request, and the mean and 95th percentile of the warm target,
-//! which classify service times as normal, as an outlier or as a sign of overload.
+//! responses, for estimates of waiting times, one for each kind of request, and the mean and 95th
+//! percentile of the warm target, which classify service times as normal, as an outlier or as a sign
+//! of overload.
 
 use std::time::Duration;
 
