--- a/crates/basilbay_admission/benches/admission.rs
+++ b/crates/basilbay_admission/benches/admission.rs
@@ -41,7 +41,6 @@
     fn offer(&mut self) {
         let request = Request {
             id: self.next,
-            kind: self.next % 4,
             weight: 1 + (self.next % 3) as u32,
             deadline: self.now + Duration::from_secs(2),
             goal_at: self.now + Duration::from_secs(1),
--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -6,7 +6,6 @@
 //! request.
 
 mod closed;
-mod enqueue;
 mod observe;
 
 use std::time::{Duration, Instant};
@@ -21,9 +20,9 @@
 use crate::limit::{Limit, Sample};
 use crate::probe::{Report, Restriction};
 use crate::profile::Profile;
-use crate::queue::Queue;
+use crate::queue::{self, Queue};
 use crate::rate::Limiter;
-use crate::request::{KindKey, Request, RequestId, StartIndex};
+use crate::request::{Request, RequestId, StartIndex};
 use crate::slowdown::{Detector, Status};
 use crate::warmup::{Reference, Response, Trigger, Warmup};
 
@@ -83,7 +82,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     id: RequestId,
-    kind: KindKey,
     start_index: StartIndex,
     started_at: Instant,
     suspect: bool,
@@ -210,7 +208,7 @@
             allowed,
             is_warm: !self.warmup.is_cold(),
         };
-        self.record_completion(completion, running.kind, sample);
+        self.record_completion(completion, sample);
         self.process_queue(now);
         Some(sample.service_time)
     }
@@ -233,7 +231,7 @@
 
     /// When [`Gate::tick`] next has work to do; `None` while the queue is empty.
     pub fn next_deadline(&self, now: Instant) -> Option<Instant> {
-        let queue = self.queue.next_deadline(&self.profile)?;
+        let queue = self.queue.next_deadline(self.profile.recent())?;
         let restriction = self
             .restriction
             .map_or(queue, |restriction| restriction.expires_at);
@@ -382,7 +380,6 @@
         };
         let running = Running {
             id: request.id,
-            kind: request.kind,
             start_index: self.next_start_index,
             started_at: now,
             suspect: request.suspect,
@@ -394,21 +391,50 @@
         self.peak_running = self.peak_running.max(self.running.len() as u32);
     }
 
-    fn record_completion(&mut self, completion: Completion, kind: KindKey, sample: Sample) {
+    fn enqueue(&mut self, request: Request, now: Instant) -> Decision {
+        let typical = self.profile.recent();
+        if queue::latest_start(&request, typical) <= now {
+            return Decision::Refuse(Cause::DeadlinePassed);
+        }
+        if queue::latest_start(&request, typical) <= now + self.expected_wait(typical, now) {
+            return Decision::Refuse(Cause::NoCapacity);
+        }
+        if self.queue.is_full() {
+            self.expire(now);
+        }
+        if self.queue.is_full() {
+            let Some(id) = self.queue.shed_lightest(Some(request.weight), now) else {
+                return Decision::Refuse(Cause::NoCapacity);
+            };
+            self.actions.push(Action::Refuse(id, Cause::NoCapacity));
+        }
+        self.queue.push(request, typical, now);
+        Decision::Wait
+    }
+
+    /// Expected wait at the end of the queue, if each slot is freed once per service time and the
+    /// rate limit of a cold start is exhausted.
+    fn expected_wait(&self, service_time: Duration, now: Instant) -> Duration {
+        let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+        let by_slots = service_time.saturating_mul(ahead) / self.slots().max(1);
+        by_slots.max(self.rate.expected_wait(self.queue.len(), now))
+    }
+
+    fn record_completion(&mut self, completion: Completion, sample: Sample) {
         match completion {
-            Completion::Answered => self.record_response(kind, sample),
+            Completion::Answered => self.record_response(sample),
             Completion::Failed => self.limit.record_failure(sample, &mut self.profile),
             Completion::Reset => {
                 if self.warmup.record_reset(sample.index, sample.next_index) {
                     self.limit.restart_window(sample.next_index);
                 }
             }
-            Completion::Cancelled => self.profile.record_cancelled(kind, sample.service_time),
+            Completion::Cancelled => {}
         }
     }
 
-    fn record_response(&mut self, kind: KindKey, sample: Sample) {
-        self.profile.record(kind, sample.service_time);
+    fn record_response(&mut self, sample: Sample) {
+        self.profile.record(sample.service_time);
         self.count_normal_response(sample.service_time);
         let response = Response {
             index: sample.index,
@@ -448,7 +474,7 @@
 
     fn expire(&mut self, now: Instant) {
         let actions = &mut self.actions;
-        self.queue.expire(&mut self.profile, now, |id, cause| {
+        self.queue.expire(self.profile.recent(), now, |id, cause| {
             actions.push(Action::Refuse(id, cause));
         });
     }
--- a/crates/basilbay_admission/src/lib.rs
+++ b/crates/basilbay_admission/src/lib.rs
@@ -12,7 +12,6 @@
 //! the results are decisions and actions. See docs/decisions/admission.md for the reasons.
 
 pub mod gate;
-pub mod kind;
 pub mod limit;
 pub mod probe;
 pub mod profile;
--- a/crates/basilbay_admission/src/profile.rs
+++ b/crates/basilbay_admission/src/profile.rs
@@ -1,15 +1,11 @@
 //! Service-time statistics of the target, as measured by the gate.
 //!
 //! The input is the service time of each response. The output is a moving average over recent
-//! responses, for estimates of waiting times, one for each kind of request, and the mean and 95th
-//! percentile of the warm target, which classify service times as normal, as an outlier or as a sign
-//! of overload.
+//! responses, for estimates of waiting times, and the mean and 95th percentile of the warm target,
+//! which classify service times as normal, as an outlier or as a sign of overload.
 
 use std::time::Duration;
 
-use crate::kind::Table;
-use crate::request::KindKey;
-
 /// A response that takes this many times the warm mean is an outlier. Processor sharing on a third
 /// of the slots explains a factor of 3, which the adaptive limit handles.
 const OUTLIER_MEAN_FACTOR: f64 = 4.0;
@@ -31,7 +27,7 @@
 const QUANTILE_STEP: f64 = 0.1;
 
 /// Weight of a new sample in the recent mean.
-pub(crate) const RECENT_GAIN: f64 = 1.0 / 16.0;
+const RECENT_GAIN: f64 = 1.0 / 16.0;
 
 /// Weight of a window mean that is below the warm mean.
 const FALL_GAIN: f64 = 0.25;
@@ -45,7 +41,6 @@
 pub struct Profile {
     /// Moving average; `None` before the first response.
     recent_mean_s: Option<f64>,
-    kinds: Table,
     warm_mean_s: Option<f64>,
     /// 95th percentile of the warm target; 0 until it is known.
     warm_p95_s: f64,
@@ -57,37 +52,18 @@
         Duration::from_secs_f64(self.recent_mean_s.unwrap_or(0.0))
     }
 
-    /// Expected service time of a kind; the mean over all kinds if the kind is unknown.
-    pub fn estimate(&self, kind: KindKey) -> Duration {
-        let known = self.kinds.estimate_s(kind);
-        known.map_or_else(|| self.recent(), Duration::from_secs_f64)
-    }
-
     /// Mean service time of the warm target in seconds; `None` until it is known.
     pub fn warm_mean_s(&self) -> Option<f64> {
         self.warm_mean_s
     }
 
     /// Records the service time of a response in any state of the target.
-    pub fn record(&mut self, kind: KindKey, service_time: Duration) {
-        self.kinds.record(kind, service_time);
+    pub fn record(&mut self, service_time: Duration) {
         let sample_s = service_time.as_secs_f64();
         let recent = self.recent_mean_s.get_or_insert(sample_s);
         *recent += (sample_s - *recent) * RECENT_GAIN;
     }
 
-    /// Records a request that was refused because of the estimate for its kind.
-    pub fn record_refusal(&mut self, kind: KindKey) {
-        if let Some(mean_s) = self.recent_mean_s {
-            self.kinds.record_refusal(kind, mean_s);
-        }
-    }
-
-    /// Records a request that was cancelled after it had run for `elapsed`.
-    pub fn record_cancelled(&mut self, kind: KindKey, elapsed: Duration) {
-        self.kinds.record_cancelled(kind, elapsed);
-    }
-
     /// Updates the 95th percentile with the service time of a response of the warm target.
     pub fn record_warm(&mut self, service_time: Duration) {
         let sample_s = service_time.as_secs_f64();
--- a/crates/basilbay_admission/src/queue.rs
+++ b/crates/basilbay_admission/src/queue.rs
@@ -12,7 +12,6 @@
 
 use basilbay_wire::problem::Cause;
 
-use crate::profile::Profile;
 use crate::request::{Request, RequestId};
 
 /// Minimum wait limit; a queue that empties sooner was a short burst and not overload.
@@ -31,48 +30,6 @@
     goal_start_at: Instant,
 }
 
-/// Queued requests that a new one has to wait for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ahead {
-    /// Number of requests.
-    pub count: usize,
-    /// Sum of their expected service times.
-    pub work: Duration,
-}
-
-/// Order in which waiting requests start; the greatest starts first.
-type Rank = (bool, u32, Option<Reverse<Instant>>, usize);
-
-impl Waiting {
-    /// The wait limit follows from the mean over all kinds, in which time each slot is freed once.
-    fn new(request: Request, profile: &Profile, now: Instant) -> Self {
-        let wait_limit = profile
-            .recent()
-            .saturating_mul(WAIT_LIMIT_SERVICE_TIMES)
-            .max(MIN_WAIT_LIMIT);
-        // The kind may be unknown; one with a goal below the mean over all kinds takes less.
-        let service_time = profile.estimate(request.kind);
-        let goal = request.goal_at.saturating_duration_since(now);
-        Self {
-            request,
-            wait_limit_at: now.checked_add(wait_limit).unwrap_or(request.deadline),
-            goal_start_at: now + goal.saturating_sub(service_time.min(goal / 2)),
-        }
-    }
-
-    fn rank(&self, index: usize, is_overloaded: bool, now: Instant) -> Rank {
-        let meets_goal = now <= self.goal_start_at;
-        // Ties go to the newest request under overload, otherwise to the oldest.
-        match is_overloaded {
-            true => (meets_goal, self.request.weight, None, index),
-            false => {
-                let earliest_first = Some(Reverse(self.goal_start_at));
-                (meets_goal, 0, earliest_first, usize::MAX - index)
-            }
-        }
-    }
-}
-
 /// Queued requests in the order of arrival.
 #[derive(Clone, Debug)]
 pub struct Queue {
@@ -122,28 +79,21 @@
         self.waiting.iter().any(|waiting| waiting.request.id == id)
     }
 
-    /// What a new request has to wait for: all requests of its own kind, and those of other kinds
-    /// that start before it.
-    pub fn ahead(&self, request: Request, profile: &Profile, now: Instant) -> Ahead {
-        let is_overloaded = self.is_overloaded(now);
-        let own = Waiting::new(request, profile, now);
-        let own_rank = own.rank(self.waiting.len(), is_overloaded, now);
-        let mut ahead = Ahead::default();
-        for (index, waiting) in self.waiting.iter().enumerate() {
-            let kind = waiting.request.kind;
-            if kind == request.kind || waiting.rank(index, is_overloaded, now) > own_rank {
-                ahead.count += 1;
-                ahead.work = ahead.work.saturating_add(profile.estimate(kind));
-            }
-        }
-        ahead
-    }
-
-    /// Appends a request.
-    pub fn push(&mut self, request: Request, profile: &Profile, now: Instant) {
-        let waiting = Waiting::new(request, profile, now);
-        self.overloaded_at.get_or_insert(waiting.wait_limit_at);
-        self.waiting.push(waiting);
+    /// Appends a request; `service_time` is the recent mean of the target.
+    pub fn push(&mut self, request: Request, service_time: Duration, now: Instant) {
+        let wait_limit = service_time
+            .saturating_mul(WAIT_LIMIT_SERVICE_TIMES)
+            .max(MIN_WAIT_LIMIT);
+        let wait_limit_at = now.checked_add(wait_limit).unwrap_or(request.deadline);
+        self.overloaded_at.get_or_insert(wait_limit_at);
+        // The service time is a mean over all kinds; a kind with a shorter goal takes less.
+        let goal = request.goal_at.saturating_duration_since(now);
+        let goal_start_at = now + goal.saturating_sub(service_time.min(goal / 2));
+        self.waiting.push(Waiting {
+            request,
+            wait_limit_at,
+            goal_start_at,
+        });
     }
 
     /// Removes the request that runs next; `None` if the queue is empty, or holds only suspects and
@@ -153,7 +103,17 @@
         let candidates = self.waiting.iter().enumerate();
         let index = candidates
             .filter(|(_, waiting)| !(skip_suspects && waiting.request.suspect))
-            .max_by_key(|(index, waiting)| waiting.rank(*index, is_overloaded, now))?
+            .max_by_key(|(index, waiting)| {
+                let meets_goal = now <= waiting.goal_start_at;
+                // Ties go to the newest request under overload, otherwise to the oldest.
+                match is_overloaded {
+                    true => (meets_goal, waiting.request.weight, None, *index),
+                    false => {
+                        let earliest_first = Some(Reverse(waiting.goal_start_at));
+                        (meets_goal, 0, earliest_first, usize::MAX - index)
+                    }
+                }
+            })?
             .0;
         Some(self.remove_at(index))
     }
@@ -192,16 +152,13 @@
     /// id to `refuse` with the cause.
     pub fn expire(
         &mut self,
-        profile: &mut Profile,
+        service_time: Duration,
         now: Instant,
         mut refuse: impl FnMut(RequestId, Cause),
     ) {
         let overloaded = self.is_overloaded(now);
         self.waiting.retain(|waiting| {
-            let cause = if latest_start(&waiting.request, profile) <= now {
-                if now < waiting.request.deadline {
-                    profile.record_refusal(waiting.request.kind);
-                }
+            let cause = if latest_start(&waiting.request, service_time) <= now {
                 Cause::DeadlinePassed
             } else if overloaded && waiting.wait_limit_at <= now {
                 Cause::NoCapacity
@@ -234,13 +191,13 @@
     }
 
     /// When [`Queue::expire`] next has a request to remove; `None` for an empty queue.
-    pub fn next_deadline(&self, profile: &Profile) -> Option<Instant> {
+    pub fn next_deadline(&self, service_time: Duration) -> Option<Instant> {
         let overloaded_at = self.overloaded_at?;
         self.waiting
             .iter()
             .map(|waiting| {
                 let wait_limit_at = waiting.wait_limit_at.max(overloaded_at);
-                latest_start(&waiting.request, profile).min(wait_limit_at)
+                latest_start(&waiting.request, service_time).min(wait_limit_at)
             })
             .min()
     }
@@ -263,10 +220,10 @@
     }
 }
 
-/// Latest start at which a request can finish before its deadline, if it takes as long as its kind.
-pub fn latest_start(request: &Request, profile: &Profile) -> Instant {
+/// Latest start at which a request can finish before its deadline.
+pub fn latest_start(request: &Request, service_time: Duration) -> Instant {
     request
         .deadline
-        .checked_sub(profile.estimate(request.kind))
+        .checked_sub(service_time)
         .unwrap_or(request.deadline)
 }
--- a/crates/basilbay_admission/src/request.rs
+++ b/crates/basilbay_admission/src/request.rs
@@ -6,9 +6,6 @@
 /// Id of a request; the daemon never reuses one.
 pub type RequestId = u64;
 
-/// Hash of the id of a request's kind.
-pub type KindKey = u64;
-
 /// Position of a start in the sequence of all starts of a gate.
 ///
 /// A request with a lower index than the first start after a change was started before the change,
@@ -20,8 +17,6 @@
 pub struct Request {
     /// Id of the request.
     pub id: RequestId,
-    /// Kind of the request, for estimates of its service time.
-    pub kind: KindKey,
     /// Weight of its kind; the lightest kind is shed first.
     pub weight: u32,
     /// When the caller stops waiting for the response.
--- a/crates/basilbay_admission/tests/gate.rs
+++ b/crates/basilbay_admission/tests/gate.rs
@@ -256,7 +256,6 @@
     fn offer(&mut self, weight: u32, deadline_ms: u64, suspect: bool) {
         self.last_id += 1;
         let request = Request {
-            kind: self.last_id % 3,
             suspect,
             ..fixture::request(self.last_id, weight, deadline_ms, self.now)
         };
--- a/crates/basilbay_admission/tests/support/fixture.rs
+++ b/crates/basilbay_admission/tests/support/fixture.rs
@@ -16,7 +16,6 @@
 pub fn request(id: u64, weight: u32, deadline_ms: u64, now: Instant) -> Request {
     Request {
         id,
-        kind: 0,
         weight,
         deadline: now + Duration::from_millis(deadline_ms),
         goal_at: now + Duration::from_millis(deadline_ms),
--- a/crates/basilbay_admission/tests/support/simulation.rs
+++ b/crates/basilbay_admission/tests/support/simulation.rs
@@ -25,11 +25,6 @@
     pub warmup: (u32, u32, u32),
     /// Mean service time without core contention.
     pub service_us: f64,
-    /// Mean service time without core contention of each kind; empty if all kinds take `service_us`.
-    pub service_us_by_kind: Vec<f64>,
-    /// Requests of each kind offered, and completed before their deadline.
-    pub offered: [u32; 4],
-    pub served: [u32; 4],
     /// Cores that the running requests share.
     pub cores: u32,
     /// Requests that exceeded the capacity of the target.
@@ -56,9 +51,6 @@
             capacity: contract.slots,
             warmup: (contract.slots, 1, 0),
             service_us: 10_000.0,
-            service_us_by_kind: Vec::new(),
-            offered: [0; 4],
-            served: [0; 4],
             cores: u32::MAX,
             excess: 0,
             weight: 0,
@@ -77,8 +69,6 @@
     pub fn run(&mut self, millis: u64, rate: f64, kinds: &[Kind]) {
         self.excess = 0;
         self.weight = 0;
-        self.offered = [0; 4];
-        self.served = [0; 4];
         self.latencies.clear();
         let end = self.clock_us + millis * 1000;
         let mut arrival = self.clock_us + self.exponential(1e6 / rate);
@@ -107,18 +97,13 @@
 
     fn offer(&mut self, kinds: &[Kind]) {
         let mut draw = self.uniform();
-        let chosen = kinds.iter().position(|kind| {
+        let chosen = kinds.iter().find(|kind| {
             draw -= kind.1;
             draw < 0.0
         });
-        let kind = chosen.unwrap_or(0);
-        let (weight, _, millis) = kinds[kind];
+        let (weight, _, millis) = *chosen.unwrap_or(&kinds[0]);
         let id = self.requests.len() as u64;
-        let request = Request {
-            kind: kind as u64,
-            ..super::fixture::request(id, weight, millis, self.now())
-        };
-        self.offered[kind] += 1;
+        let request = super::fixture::request(id, weight, millis, self.now());
         self.requests.push((request, self.clock_us));
         if self.gate.offer(request, self.now()) == Decision::Run {
             self.start(id);
@@ -134,9 +119,7 @@
         if served {
             self.running += 1;
             let sharing = f64::from(self.running) / f64::from(self.running.min(self.cores));
-            let kind = self.requests[id as usize].0.kind as usize;
-            let by_kind = self.service_us_by_kind.get(kind);
-            service = self.exponential(by_kind.unwrap_or(&self.service_us) * sharing);
+            service = self.exponential(self.service_us * sharing);
         } else {
             self.excess += 1;
         }
@@ -175,7 +158,6 @@
             self.warmup.2 += 1;
             if self.now() <= request.deadline {
                 self.weight += request.weight;
-                self.served[request.kind as usize] += 1;
                 self.latencies.push(self.clock_us - offered_at_us);
             }
         }
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -4,7 +4,6 @@
 //! out a [`Permit`] for each admitted request. A permit that is dropped counts as cancelled, so no code
 //! path can leak one.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -12,8 +11,7 @@
 
 use basilbay_admission::gate::{Action, Closed, Completion, Decision, Gate, Stage, Startup};
 use basilbay_admission::probe::Report;
-use basilbay_admission::request::{self, KindKey, RequestId};
-use basilbay_model::id::KindId;
+use basilbay_admission::request::{self, RequestId};
 use basilbay_model::service::Contract;
 use basilbay_wire::load::{Load, State};
 use basilbay_wire::problem::{Cause, Problem};
@@ -34,8 +32,6 @@
 /// What the gate needs to know of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Requirements {
-    /// Kind of the request.
-    pub kind: KindKey,
     /// Importance of the request: under overload, the queue sheds requests of the lowest weight first.
     pub weight: u32,
     /// When the request times out.
@@ -50,13 +46,6 @@
     pub fingerprint: u64,
 }
 
-/// Returns the key of a kind.
-pub fn kind_key(kind: &KindId) -> KindKey {
-    let mut hasher = DefaultHasher::new();
-    kind.hash(&mut hasher);
-    hasher.finish()
-}
-
 struct Waiter {
     id: RequestId,
     sender: oneshot::Sender<std::result::Result<(), Cause>>,
@@ -122,7 +111,6 @@
             inner.next_id += 1;
             let request = request::Request {
                 id,
-                kind: requirements.kind,
                 weight: requirements.weight,
                 deadline: requirements.deadline,
                 goal_at: requirements.goal_at,
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -20,7 +20,7 @@
 use basilbay_wire::problem::{Cause, Problem};
 
 use crate::access_log;
-use crate::admission::{Permit, Requirements, kind_key};
+use crate::admission::{Permit, Requirements};
 use crate::body::{self, Body};
 use crate::call::{Call, Options};
 use crate::daemon::Daemon;
@@ -57,7 +57,6 @@
         return Err(Problem::not_run(Cause::Poisoned, detail));
     }
     let requirements = Requirements {
-        kind: kind_key(&call.spec.kind),
         weight: call.spec.weight,
         deadline: call.deadline,
         goal_at: call.goal_at,
