Log and count what a target states about its rate and its leaving

Logs and metrics could not tell whether a daemon sees the header, whether several daemons each keep to it, or whether requests pass admission by.

The dialect gets two header names, decoded into wire::notice::Notice, and the admission crate a tracker of the current statements: one holds until the response to a request that was sent after the last response with it, since responses can overtake each other. Nothing acts on them yet.

Health probes carry the headers as well.

--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -18,6 +18,7 @@
 use closed::ClosedSet;
 
 use crate::limit::{Limit, Sample};
+use crate::notice::Tracker;
 use crate::probe::{Report, Restriction};
 use crate::profile::Profile;
 use crate::queue::{self, Queue};
@@ -96,6 +97,7 @@
     limit: Limit,
     warmup: Warmup,
     rate: Limiter,
+    notice: Tracker,
     slowdown: Detector,
     /// Whether the result of an [`Action::Probe`] is still pending.
     probe_requested: bool,
@@ -127,6 +129,7 @@
             limit: Limit::new(contract.slots),
             warmup: Warmup::new(contract, trigger),
             rate: Limiter::new(contract, startup == Startup::Restart, now),
+            notice: Tracker::default(),
             slowdown: Detector::default(),
             probe_requested: false,
             profile: Profile::default(),
--- a/crates/basilbay_admission/src/gate/observe.rs
+++ b/crates/basilbay_admission/src/gate/observe.rs
@@ -5,9 +5,11 @@
 use std::time::{Duration, Instant};
 
 use basilbay_model::service::Contract;
+use basilbay_wire::notice::{Notice, Rate};
 use basilbay_wire::problem::Cause;
 
 use super::{Action, Gate};
+use crate::notice::Change;
 use crate::rate::Limiter;
 use crate::slowdown::Status;
 
@@ -35,6 +37,22 @@
         self.process_queue(now);
     }
 
+    /// Records what the target states in a response that arrived at `now` to a request or probe
+    /// sent at `sent_at`, and returns what it changes.
+    pub fn observe_notice(
+        &mut self,
+        notice: &Notice,
+        sent_at: Instant,
+        now: Instant,
+    ) -> Vec<Change> {
+        self.notice.observe(notice, sent_at, now)
+    }
+
+    /// Rate that the target states to accept; `None` without a limit.
+    pub fn stated_rate(&self) -> Option<Rate> {
+        self.notice.rate()
+    }
+
     /// Records the end of an [`Action::Probe`]. The measurement of a successful probe must have
     /// been passed to [`Gate::observe_slowdown`] before.
     pub fn probe_finished(&mut self, succeeded: bool, now: Instant) {
--- a/crates/basilbay_admission/src/lib.rs
+++ b/crates/basilbay_admission/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod gate;
 pub mod limit;
+pub mod notice;
 pub mod probe;
 pub mod profile;
 pub mod queue;
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -14,8 +14,11 @@
 use basilbay_admission::request::{self, RequestId};
 use basilbay_model::service::Contract;
 use basilbay_wire::load::{Load, State};
+use basilbay_wire::notice::Notice;
 use basilbay_wire::problem::{Cause, Problem};
 
+use crate::report;
+
 /// Result of waiting for a permit.
 pub type Result<T> = std::result::Result<T, Problem>;
 
@@ -58,6 +61,7 @@
     /// Running requests with their fingerprints.
     running: Vec<(RequestId, u64)>,
     next_id: RequestId,
+    started: u64,
     completed: u64,
     refused: u64,
 }
@@ -80,6 +84,8 @@
 /// Totals since the daemon started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
+    /// Requests that were handed to the target.
+    pub started: u64,
     /// Requests to which the target responded.
     pub completed: u64,
     /// Requests that the gate refused.
@@ -95,6 +101,7 @@
                 waiters: Vec::new(),
                 running: Vec::new(),
                 next_id: 0,
+                started: 0,
                 completed: 0,
                 refused: 0,
             }),
@@ -158,6 +165,7 @@
     pub fn counts(&self) -> Counts {
         let inner = self.lock();
         Counts {
+            started: inner.started,
             completed: inner.completed,
             refused: inner.refused,
         }
@@ -196,6 +204,17 @@
         self.apply_actions(&mut inner);
     }
 
+    /// Records what the target states in a response to a request or probe sent at `sent_at`.
+    pub fn observe_notice(&self, notice: &Notice, sent_at: Instant) {
+        let changes = {
+            let mut inner = self.lock();
+            let changes = inner.gate.observe_notice(notice, sent_at, Instant::now());
+            self.apply_actions(&mut inner);
+            changes
+        };
+        changes.into_iter().for_each(report::target_notice);
+    }
+
     /// Records that a probe which the gate requested ended, and whether it succeeded.
     pub fn probe_finished(&self, succeeded: bool) {
         let mut inner = self.lock();
@@ -263,6 +282,7 @@
     }
 
     fn permit(self: &Arc<Self>, inner: &mut Inner, id: RequestId, fingerprint: u64) -> Permit {
+        inner.started += 1;
         inner.running.push((id, fingerprint));
         Permit {
             admission: self.clone(),
@@ -315,8 +335,13 @@
         let gate = &self.gate;
         let state = format!("{:?}", gate.state()).to_lowercase();
         let (running, limit, queued) = (gate.running(), gate.limit(), gate.queued());
-        let detail =
-            format!("target {state}: {running} requests running (limit {limit}), {queued} queued");
+        let rate = match gate.stated_rate() {
+            Some(rate) => format!(", accepts {rate} requests per second"),
+            None => String::new(),
+        };
+        let detail = format!(
+            "target {state}: {running} requests running (limit {limit}), {queued} queued{rate}"
+        );
         Problem::not_run(cause, detail)
     }
 }
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -454,6 +454,7 @@
         if let Some(dropped) = daemon.log_dropped.get() {
             metrics.gauge(metrics::LOG_DROPPED, dropped.count());
         }
+        metrics.count(metrics::RUNS_STARTED, counts.started - last.started);
         metrics.count(metrics::RUNS_COMPLETED, counts.completed - last.completed);
         metrics.count(metrics::RUNS_REFUSED, counts.refused - last.refused);
         last = counts;
--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -252,7 +252,10 @@
 
 /// Probes the load endpoint.
 async fn probe_load(daemon: &Daemon) -> Result<Report> {
-    let (_, _, bytes) = get(daemon, "/load").await?;
+    let sent_at = Instant::now();
+    let (_, headers, bytes) = get(daemon, "/load").await?;
+    let notice = daemon.dialect.notice(&headers);
+    daemon.admission.observe_notice(&notice, sent_at);
     let report: LoadReport = serde_json::from_slice(&bytes)?;
     Ok(Report {
         in_flight: report.in_flight,
@@ -263,6 +266,7 @@
 
 /// Probes the health path, whose response states load and remaining cold start in headers.
 async fn probe_health(daemon: &Daemon, path: &str) -> Result<Report> {
+    let sent_at = Instant::now();
     let (status, headers, _) = get(daemon, path).await?;
     let dialect = &daemon.dialect;
     let target = daemon.local_target();
@@ -284,6 +288,8 @@
             (cold_ms / 1000.0).min(MAX_COLD_START_S),
         ));
     }
+    let notice = dialect.notice(&headers);
+    daemon.admission.observe_notice(&notice, sent_at);
     let sample = dialect.load_sample(&headers);
     if let Some(sample) = sample {
         daemon.admission.observe_slowdown(sample.slowdown_percent);
--- a/crates/basilbay_daemon/src/report.rs
+++ b/crates/basilbay_daemon/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use basilbay_admission::notice::Change;
 use basilbay_events::catalogue;
 use basilbay_events::emit;
 use basilbay_membership::event::Event;
@@ -21,6 +22,17 @@
     }
 }
 
+/// Logs a change in what the local target states about itself.
+pub fn target_notice(change: Change) {
+    match change {
+        Change::Rate { before, after } => {
+            emit!(catalogue::TARGET_RATE_CHANGED, ?before, rate_per_s = ?after);
+        }
+        Change::Leaving(is_leaving) => emit!(catalogue::TARGET_LEAVING, is_leaving),
+        Change::Malformed => emit!(catalogue::TARGET_RATE_MALFORMED),
+    }
+}
+
 /// Logs that the process was paused.
 pub fn paused() {
     emit!(catalogue::PAUSED);
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -94,6 +94,7 @@
     let run = daemon.local_target().run.clone();
     let request = call.target_request(allowance, run.as_ref(), &daemon.dialect, trace, body);
     let deadline = call.deadline;
+    let sent_at = Instant::now();
     let sent = tokio::time::timeout_at(deadline.into(), daemon.pool.send(request));
     let (response, connection) = match sent.await {
         Ok(Ok(received)) => received,
@@ -122,6 +123,11 @@
         permit.finish(Completion::Cancelled);
         return Reply::Problem(problem);
     }
+    // Status 421 comes from another run, whose statements do not concern this one.
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        let notice = daemon.dialect.notice(response.headers());
+        daemon.admission.observe_notice(&notice, sent_at);
+    }
     if let Some(problem) = refusal(daemon, &response) {
         // The rest of the response is not read, so the connection is dropped with it.
         permit.finish(Completion::Failed);
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -98,6 +98,14 @@
         "The target accepts connections again." "Nothing; it warms up again.";
     TARGET_REPLACED 304 Info "target-replaced"
         "A new run of the target replaced the previous one; it starts cold." "Nothing.";
+    TARGET_RATE_CHANGED 305 Info "target-rate-changed"
+        "The rate that the target states to accept has changed; `before` and `rate_per_s` are requests per second, none without a limit."
+        "If it persists, look for what keeps the target from serving at its usual rate.";
+    TARGET_LEAVING 306 Info "target-leaving"
+        "The target states in its responses whether it is leaving; `is_leaving` has changed." "Nothing.";
+    TARGET_RATE_MALFORMED 307 Warning "target-rate-malformed"
+        "The target states a rate limit that is not a number of requests per second; the previous one stays in force."
+        "Correct the target's header.";
     REQUEST_ANSWERED 400 Info "request-answered"
         "A target responded to a caller's request; `tries` lists target, result and time of each attempt."
         "Nothing.";
--- a/crates/basilbay_events/src/metrics.rs
+++ b/crates/basilbay_events/src/metrics.rs
@@ -69,6 +69,8 @@
         "Retries: attempts after a failed one of the same request.";
     ATTEMPTS_HEDGED Counter "attempts.hedged"
         "Hedged requests: second attempts in parallel with a slow first one.";
+    RUNS_STARTED Counter "runs.started"
+        "Requests that were handed to the local target.";
     RUNS_COMPLETED Counter "runs.completed"
         "Requests that the local target completed.";
     RUNS_REFUSED Counter "runs.refused"
--- a/crates/basilbay_wire/src/dialect.rs
+++ b/crates/basilbay_wire/src/dialect.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, HeaderName, StatusCode};
 
 use crate::header;
+use crate::notice::Notice;
 use crate::problem::{Cause, Outcome, Problem};
 
 /// How the status code of a response that basilbay generates is derived.
@@ -45,6 +46,11 @@
     pub load: HeaderName,
     /// Remaining cold-start time of the target in milliseconds.
     pub cold_ms: HeaderName,
+    /// Requests per second that the target accepts from all callers together, for as long as its
+    /// responses state it.
+    pub rate_limit: HeaderName,
+    /// Marks the responses of a target that is leaving.
+    pub leaving: HeaderName,
     /// Whether targets propagate depth, retry allowance and trace context to their own calls.
     pub propagates_context: bool,
     /// Status codes of the responses that basilbay generates.
@@ -65,6 +71,8 @@
             not_run: name("basilbay-not-run"),
             load: name("basilbay-target-load"),
             cold_ms: name("basilbay-cold-ms"),
+            rate_limit: name("basilbay-rate-limit"),
+            leaving: name("basilbay-leaving"),
             propagates_context: true,
             status_mapping: Mapping::Cause,
         }
@@ -108,6 +116,11 @@
         Sample::parse(headers.get(&self.load)?.to_str().ok()?)
     }
 
+    /// Statements of a target in the headers of its response.
+    pub fn notice(&self, headers: &HeaderMap) -> Notice {
+        Notice::read(headers, &self.rate_limit, &self.leaving)
+    }
+
     /// Status code of a response that basilbay generates, by the status mapping of the deployment.
     pub fn status(&self, problem: &Problem) -> StatusCode {
         let status = problem.cause.status();
