Pace requests to the rate that a target states to accept

Cause: no code acted on a target's own statement of what it can bear. The gate knew slots, cold starts and slowdowns. The class: a limit that the target states is not a limit of its admission. Ruled out by the log: limits kept by each caller's daemon alone (none knows them), and requests that pass the gate by (pool.send has one caller, which holds a permit; retries, hedges, calls of targets and keyed requests all get there).

The gate of the target's daemon is the only way in, so it keeps the rate alone: a generic cell rate algorithm whose credit is half a second, and none after a change. What goes beyond is refused at once if it may run elsewhere or its turn comes too late. The load report carries the time until the next start, and the router picks such a target only if no other is left. A daemon that starts beside a running target keeps to one request per second until the target's first response, which a probe brings forward.

Tests of restarts now pass the target's first response to the gate, as the daemon does; their bounds are as before.

--- a/crates/basilbay_admission/src/gate.rs
+++ b/crates/basilbay_admission/src/gate.rs
@@ -19,6 +19,7 @@
 
 use crate::limit::{Limit, Sample};
 use crate::notice::Tracker;
+use crate::pacer::Pacer;
 use crate::probe::{Report, Restriction};
 use crate::profile::Profile;
 use crate::queue::{self, Queue};
@@ -98,6 +99,7 @@
     warmup: Warmup,
     rate: Limiter,
     notice: Tracker,
+    pacer: Pacer,
     slowdown: Detector,
     /// Whether the result of an [`Action::Probe`] is still pending.
     probe_requested: bool,
@@ -130,6 +132,7 @@
             warmup: Warmup::new(contract, trigger),
             rate: Limiter::new(contract, startup == Startup::Restart, now),
             notice: Tracker::default(),
+            pacer: Pacer::new(startup == Startup::Restart, now),
             slowdown: Detector::default(),
             probe_requested: false,
             profile: Profile::default(),
@@ -167,8 +170,9 @@
                 self.start(request, now);
                 return Decision::Run;
             }
-        } else if status == Status::Unknown {
-            // Without capacity, the result of a probe would not matter.
+        } else if status == Status::Unknown && !self.pacer.is_unknown() {
+            // Without capacity, the result of a probe would not matter, unless it may lift a rate
+            // limit.
             status = Status::Normal;
         }
         let refuses_wait = !request.may_wait;
@@ -239,8 +243,9 @@
             .restriction
             .map_or(queue, |restriction| restriction.expires_at);
         let next_start = self.rate.next_start_at(now).unwrap_or(queue);
+        let paced = self.pacer.next_start_at(now).unwrap_or(queue);
         let probe = self.slowdown.next_probe_at(now).unwrap_or(queue);
-        Some(queue.min(restriction).min(next_start).min(probe))
+        Some(queue.min(restriction).min(next_start).min(paced).min(probe))
     }
 
     /// Applies a new contract.
@@ -309,17 +314,21 @@
     }
 
     /// Current load, with a new sequence number.
-    pub fn load(&mut self) -> Load {
+    pub fn load(&mut self, now: Instant) -> Load {
         self.load_sequence += 1;
+        let rate_wait = self.paced_wait(now).as_micros();
+        let running = self.running.len() as u32;
+        let by_pace = self.pacer.available(now).unwrap_or(u32::MAX);
         let latency = self.profile.recent().as_micros();
         Load {
             sequence: self.load_sequence,
-            in_flight: self.running.len() as u32,
-            limit: self.limit(),
+            in_flight: running,
+            limit: self.limit().min(running.saturating_add(by_pace)),
             queued: self.queue.len() as u32,
             latency_us: u32::try_from(latency).unwrap_or(u32::MAX),
             state: self.state(),
             is_slowed: self.slowdown.is_slowed(),
+            rate_wait_us: u32::try_from(rate_wait).unwrap_or(u32::MAX),
         }
     }
 
@@ -374,7 +383,9 @@
     }
 
     fn has_capacity(&mut self, now: Instant) -> bool {
-        self.rate.admits(now) && self.running.len() < self.limit() as usize
+        self.rate.admits(now)
+            && self.pacer.admits(now)
+            && self.running.len() < self.limit() as usize
     }
 
     fn start(&mut self, request: Request, now: Instant) {
@@ -390,6 +401,7 @@
         self.running.insert(index, running);
         self.next_start_index += 1;
         self.rate.record_start(now);
+        self.pacer.record_start(now);
         self.suspect_running |= request.suspect;
         self.peak_running = self.peak_running.max(self.running.len() as u32);
     }
@@ -416,11 +428,17 @@
     }
 
     /// Expected wait at the end of the queue, if each slot is freed once per service time and the
-    /// rate limit of a cold start is exhausted.
+    /// rate limits of a cold start and of the target are exhausted.
     fn expected_wait(&self, service_time: Duration, now: Instant) -> Duration {
         let ahead = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         let by_slots = service_time.saturating_mul(ahead) / self.slots().max(1);
-        by_slots.max(self.rate.expected_wait(self.queue.len(), now))
+        let by_rate = self.rate.expected_wait(self.queue.len(), now);
+        by_slots.max(by_rate).max(self.paced_wait(now))
+    }
+
+    /// Expected wait at the end of the queue by the rate that the target states.
+    fn paced_wait(&self, now: Instant) -> Duration {
+        self.pacer.expected_wait(self.queue.len(), now)
     }
 
     fn record_completion(&mut self, completion: Completion, sample: Sample) {
--- a/crates/basilbay_admission/src/gate/observe.rs
+++ b/crates/basilbay_admission/src/gate/observe.rs
@@ -9,7 +9,7 @@
 use basilbay_wire::problem::Cause;
 
 use super::{Action, Gate};
-use crate::notice::Change;
+use crate::notice::{Change, Tracker};
 use crate::rate::Limiter;
 use crate::slowdown::Status;
 
@@ -45,7 +45,10 @@
         sent_at: Instant,
         now: Instant,
     ) -> Vec<Change> {
-        self.notice.observe(notice, sent_at, now)
+        let changes = self.notice.observe(notice, sent_at, now);
+        self.pacer.set_rate(self.notice.rate(), now);
+        self.process_queue(now);
+        changes
     }
 
     /// Rate that the target states to accept; `None` without a limit.
@@ -76,6 +79,8 @@
 
     /// Records that the target process was replaced by a new one.
     pub fn target_replaced(&mut self, now: Instant) {
+        self.notice = Tracker::default();
+        self.pacer.set_rate(None, now);
         self.rate.mark_cold(now);
         self.warmup.target_restarted(self.next_start_index);
     }
--- a/crates/basilbay_admission/src/lib.rs
+++ b/crates/basilbay_admission/src/lib.rs
@@ -4,7 +4,8 @@
 //! refuses the rest. The concurrency is bounded by the minimum of the contract's slots, the
 //! adaptive [`limit`], the cold-start [`warmup`] and the restriction that follows from a report of
 //! the target's load endpoint ([`probe`]). A contract may bound cold starts by a [`rate`] instead
-//! of the warm-up. The [`slowdown`] detector holds requests back while other load on the machine
+//! of the warm-up. A target may state in its responses ([`notice`]) how many requests per second it
+//! accepts, to which the [`pacer`] keeps. The [`slowdown`] detector holds requests back while other load on the machine
 //! slows the target. The [`profile`] holds the service times of the warm target, with which the
 //! limit and the warm-up compare those of new responses.
 //!
@@ -14,6 +15,7 @@
 pub mod gate;
 pub mod limit;
 pub mod notice;
+pub mod pacer;
 pub mod probe;
 pub mod profile;
 pub mod queue;
--- a/crates/basilbay_admission/tests/gate.rs
+++ b/crates/basilbay_admission/tests/gate.rs
@@ -81,7 +81,7 @@
     assert_eq!(actions(&mut gate), [refused]);
     gate.set_closed(Closed::Leaving, true, now);
     gate.set_closed(Closed::Out, false, now);
-    assert_eq!(gate.load().state, State::Leaving);
+    assert_eq!(gate.load(now).state, State::Leaving);
     let refused = gate.offer(request(3, now), now);
     assert_eq!(refused, Decision::Refuse(Cause::Leaving));
     gate.set_closed(Closed::Leaving, false, now);
@@ -104,9 +104,9 @@
     let now = Instant::now();
     let mut gate = Gate::new(&contract(4, 2, 2, 10), Startup::Fresh, now);
     gate.offer(request(1, now), now);
-    let first = gate.load();
+    let first = gate.load(now);
     gate.complete(1, Completion::Answered, now + Duration::from_millis(3));
-    let second = gate.load();
+    let second = gate.load(now);
     assert!(second.sequence > first.sequence);
     assert_eq!((first.in_flight, first.limit), (1, 2));
     assert_eq!((second.in_flight, second.latency_us), (0, 3000));
@@ -347,7 +347,7 @@
         assert!((1..=self.contract.slots).contains(&self.gate.limit()));
         let due = self.gate.next_deadline(self.now);
         assert!(self.waiting.is_empty() || due.is_some());
-        let load = self.gate.load();
+        let load = self.gate.load(self.now);
         assert_eq!(load.in_flight as usize, self.running.len());
         let free = self.running.len() < load.limit as usize;
         let startable = self.waiting.values().any(|request| !request.suspect);
--- a/crates/basilbay_admission/tests/rate.rs
+++ b/crates/basilbay_admission/tests/rate.rs
@@ -7,6 +7,7 @@
 
 use basilbay_admission::gate::{Action, Closed, Completion, Decision, Gate, Startup};
 use basilbay_model::service::Contract;
+use basilbay_wire::notice::Notice;
 use basilbay_wire::problem::Cause;
 use fixture::request;
 
@@ -23,6 +24,13 @@
     Duration::from_millis(count)
 }
 
+/// A gate of a daemon that restarted beside a target, which states no rate in its first response.
+fn beside_running_target(now: Instant) -> Gate {
+    let mut gate = Gate::new(&contract(), Startup::Restart, now);
+    gate.observe_notice(&Notice::default(), now, now);
+    gate
+}
+
 /// Offers a request every 10 ms, each of which completes immediately; returns the start times.
 fn offer_stream(gate: &mut Gate, from: Instant, count: u64) -> Vec<Instant> {
     let mut starts = Vec::new();
@@ -77,7 +85,7 @@
 #[test]
 fn predecessor_starts_counted() {
     let now = Instant::now();
-    let mut gate = Gate::new(&contract(), Startup::Restart, now);
+    let mut gate = beside_running_target(now);
     assert_eq!(offer_stream(&mut gate, now, 90).len(), 5);
 }
 
@@ -86,10 +94,10 @@
 #[test]
 fn started_with_daemon() {
     let now = Instant::now();
-    let mut gate = Gate::new(&contract(), Startup::Restart, now);
+    let mut gate = beside_running_target(now);
     gate.observe_cold_start(millis(2990), now + millis(20));
     assert_eq!(offer_stream(&mut gate, now + millis(20), 90).len(), 10);
-    let mut gate = Gate::new(&contract(), Startup::Restart, now);
+    let mut gate = beside_running_target(now);
     gate.observe_cold_start(millis(2700), now + millis(20));
     assert_eq!(offer_stream(&mut gate, now + millis(20), 90).len(), 5);
 }
@@ -134,7 +142,7 @@
         .collect();
     assert!(decisions[..10].iter().all(|it| *it == Decision::Run));
     assert!(decisions[10..].iter().all(|it| *it == Decision::Wait));
-    let load = gate.load();
+    let load = gate.load(now);
     assert_eq!((load.in_flight, load.limit), (10, 10));
 }
 
@@ -143,12 +151,12 @@
 fn load_reports_rate() {
     let now = Instant::now();
     let mut gate = Gate::new(&contract(), Startup::Fresh, now);
-    assert_eq!(gate.load().limit, 10);
+    assert_eq!(gate.load(now).limit, 10);
     for id in 0..10 {
         assert_eq!(gate.offer(request(id, 1, 60_000, now), now), Decision::Run);
         gate.complete(id, Completion::Answered, now + millis(id));
     }
-    let load = gate.load();
+    let load = gate.load(now);
     assert_eq!((load.in_flight, load.limit), (0, 0));
 }
 
--- a/crates/basilbay_admission/tests/restart.rs
+++ b/crates/basilbay_admission/tests/restart.rs
@@ -10,6 +10,7 @@
 use basilbay_admission::gate::{Completion, Decision, Gate, Startup};
 use basilbay_model::service::Contract;
 use basilbay_wire::load::State;
+use basilbay_wire::notice::Notice;
 use fixture::{contract, request};
 use simulation::{Kind, Simulation};
 
@@ -45,6 +46,7 @@
 fn responses_until_warm(service_time: Duration, siblings: Option<Duration>) -> u32 {
     let mut now = Instant::now();
     let mut gate = Gate::new(&contract(18, 18, 2, 200), Startup::Restart, now);
+    gate.observe_notice(&Notice::default(), now, now);
     gate.set_sibling_latency(siblings);
     let mut responses = 0;
     while gate.state() == State::Cold {
--- a/crates/basilbay_admission/tests/support/simulation.rs
+++ b/crates/basilbay_admission/tests/support/simulation.rs
@@ -12,6 +12,7 @@
 use basilbay_admission::gate::{Action, Completion, Decision, Gate, Startup};
 use basilbay_admission::request::Request;
 use basilbay_model::service::Contract;
+use basilbay_wire::notice::Notice;
 
 /// Weight, share of the requests, and milliseconds until the caller gives up.
 pub type Kind = (u32, f64, u64);
@@ -161,7 +162,9 @@
                 self.latencies.push(self.clock_us - offered_at_us);
             }
         }
-        self.gate.complete(id, completion, self.now());
+        let now = self.now();
+        self.gate.observe_notice(&Notice::default(), now, now);
+        self.gate.complete(id, completion, now);
         self.process_actions();
     }
 }
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -153,7 +153,7 @@
 
     /// Returns the load of the target.
     pub fn load(&self) -> Load {
-        self.lock().gate.load()
+        self.lock().gate.load(Instant::now())
     }
 
     /// Returns whether the target accepts requests, or why not.
--- a/crates/basilbay_routing/src/cluster.rs
+++ b/crates/basilbay_routing/src/cluster.rs
@@ -140,6 +140,16 @@
         utilization.max(f64::from(self.own_in_flight()) / limit)
     }
 
+    /// Remaining time until the target accepts another request at the rate that it states, as of its
+    /// latest load report.
+    pub fn rate_wait(&self, now: Instant) -> Duration {
+        let Some(reported_at) = self.reported_at else {
+            return Duration::ZERO;
+        };
+        let wait = Duration::from_micros(u64::from(self.load.rate_wait_us));
+        (reported_at + wait).saturating_duration_since(now)
+    }
+
     /// Reported service time relative to the typical one, decaying towards 1 with age.
     pub fn relative_latency(&self, summary: &Summary, now: Instant) -> f64 {
         let half_life_s = MIN_LATENCY_HALF_LIFE_S
--- a/crates/basilbay_routing/src/policy/balanced.rs
+++ b/crates/basilbay_routing/src/policy/balanced.rs
@@ -1,8 +1,8 @@
 //! The default policy: the lowest cost among a few sampled targets.
 //!
 //! The cost of a target is the extra time that a request is expected to take there: the wait for a
-//! slot, the additional service time of a slow target, and the network distance to another failure
-//! domain. Two targets of the local failure domain and two of other domains are compared, so that
+//! slot or for the rate that the target states, the additional service time of a slow target, and
+//! the network distance to another failure domain. Two targets of the local failure domain and two of other domains are compared, so that
 //! requests stay local while there is headroom and spill over smoothly. Comparing a sample instead
 //! of all targets keeps daemons with the same stale reports from picking the same target
 //! simultaneously.
@@ -101,7 +101,8 @@
     let excess_latency = target.relative_latency(&cluster.summary, now) / SLOW_RATIO - 1.0;
     let extra_service_times =
         expected_wait(target, cluster, now) + excess_latency.clamp(0.0, MAX_SLOWNESS_SERVICE_TIMES);
-    remote_cost_s + cluster.summary.typical_latency_s() * extra_service_times
+    let rate_wait_s = target.rate_wait(now).as_secs_f64();
+    remote_cost_s + rate_wait_s + cluster.summary.typical_latency_s() * extra_service_times
 }
 
 /// Expected wait for a slot, in typical service times.
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -330,14 +330,16 @@
         targets.any(|target| target.accepts_requests(now))
     }
 
-    /// Collects the targets that may be picked; stragglers only if no other targets are left.
+    /// Collects the targets that may be picked; stragglers, and targets that accept no request yet
+    /// at the rate that they state, only if no other targets are left.
     fn collect_eligible(&mut self, is_excluded: impl Fn(&InstanceId) -> bool, now: Instant) {
         self.eligible.clear();
-        let skips_stragglers = self.policy.uses_feedback();
+        let uses_feedback = self.policy.uses_feedback();
         let targets = &self.cluster.targets;
         let is_open = |target: &Target| target.accepts_requests(now) && !is_excluded(&target.id);
         for (index, target) in targets.iter().enumerate() {
-            if is_open(target) && (!skips_stragglers || straggler::admits(target, now)) {
+            let is_preferred = straggler::admits(target, now) && target.rate_wait(now).is_zero();
+            if is_open(target) && (!uses_feedback || is_preferred) {
                 self.eligible.push(index);
             }
         }
--- a/crates/basilbay_routing/tests/pick.rs
+++ b/crates/basilbay_routing/tests/pick.rs
@@ -233,3 +233,32 @@
         }
     }
 }
+
+/// Guards against requests that are offered to, or wait at, a target which accepts none yet at the
+/// rate that it states, while another target has room.
+#[test]
+fn paced_target_avoided() {
+    let now = Instant::now();
+    let mut router = router(6, 3, now);
+    for index in 0..5 {
+        let paced = Load {
+            rate_wait_us: 400_000 + 100_000 * index as u32,
+            ..load(1, 0)
+        };
+        router.update_load(&id(index), &paced, now);
+    }
+    router.update_load(&id(5), &load(1, 12), now);
+    assert_eq!(count_picks(&mut router, 6, 200, now)[5], 200);
+    // Of targets that all accept none yet, the sampled one with the shortest wait is picked.
+    let paced = Load {
+        rate_wait_us: 2_000_000,
+        ..load(2, 0)
+    };
+    router.update_load(&id(5), &paced, now);
+    let counts = count_picks(&mut router, 6, 600, now);
+    assert_eq!(counts.iter().sum::<usize>(), 600);
+    assert!(counts[5] < 60, "{counts:?}");
+    let later = now + Duration::from_millis(401);
+    let counts = count_picks(&mut router, 6, 200, later);
+    assert_eq!(counts[0], 200, "its time has come: {counts:?}");
+}
--- a/crates/basilbay_wire/src/load.rs
+++ b/crates/basilbay_wire/src/load.rs
@@ -46,4 +46,8 @@
     /// Whether other workloads on the target's machine currently slow it down.
     #[serde(default)]
     pub is_slowed: bool,
+    /// Time until the target accepts another request at the rate that it states, in microseconds;
+    /// 0 if it accepts one now or states no rate.
+    #[serde(default)]
+    pub rate_wait_us: u32,
 }
