Close a target that states in its responses that it is leaving

Cause: the same as for stated rates; the daemon beside the target passed the statement on without reading it. The gate now closes for a reason of its own, so that a list with the target as live cannot reopen it, refuses what is queued, and tells the callers' daemons at once. A response to a request sent after the last statement reopens it, and so does a new run of the target.

Measured: leaving_closes_gate and leaving_stated_by_target failed before and pass.

--- a/crates/basilbay_admission/src/gate/closed.rs
+++ b/crates/basilbay_admission/src/gate/closed.rs
@@ -8,8 +8,10 @@
 pub enum Closed {
     /// Operators took the service or the failure domain out of service.
     Out,
-    /// The target or the daemon is shutting down.
+    /// The target or the daemon is shutting down, by the instance list or the daemon's own stop.
     Leaving,
+    /// The target states in its responses that it is leaving.
+    TargetLeaving,
     /// The daemon's view of the fleet is not confirmed.
     Unconfirmed,
     /// The target does not respond.
@@ -20,13 +22,19 @@
     /// All reasons in the order of precedence for reporting: leaving comes first because it is
     /// final, and unconfirmed precedes out because an unconfirmed view may be wrong about the
     /// service being out.
-    pub const ALL: [Self; 4] = [Self::Leaving, Self::Unconfirmed, Self::Out, Self::Down];
+    pub const ALL: [Self; 5] = [
+        Self::Leaving,
+        Self::TargetLeaving,
+        Self::Unconfirmed,
+        Self::Out,
+        Self::Down,
+    ];
 
     /// Cause of the refusals.
     pub fn cause(self) -> Cause {
         match self {
             Self::Out => Cause::ServiceOut,
-            Self::Leaving => Cause::Leaving,
+            Self::Leaving | Self::TargetLeaving => Cause::Leaving,
             Self::Unconfirmed => Cause::Unconfirmed,
             Self::Down => Cause::NoCapacity,
         }
@@ -36,7 +44,7 @@
     pub fn state(self) -> State {
         match self {
             Self::Out => State::Out,
-            Self::Leaving => State::Leaving,
+            Self::Leaving | Self::TargetLeaving => State::Leaving,
             Self::Unconfirmed => State::Unconfirmed,
             Self::Down => State::Down,
         }
--- a/crates/basilbay_admission/src/gate/observe.rs
+++ b/crates/basilbay_admission/src/gate/observe.rs
@@ -8,7 +8,7 @@
 use basilbay_wire::notice::{Notice, Rate};
 use basilbay_wire::problem::Cause;
 
-use super::{Action, Gate};
+use super::{Action, Closed, Gate};
 use crate::notice::{Change, Tracker};
 use crate::rate::Limiter;
 use crate::slowdown::Status;
@@ -47,6 +47,7 @@
     ) -> Vec<Change> {
         let changes = self.notice.observe(notice, sent_at, now);
         self.pacer.set_rate(self.notice.rate(), now);
+        self.set_closed(Closed::TargetLeaving, self.notice.is_leaving(), now);
         self.process_queue(now);
         changes
     }
@@ -81,6 +82,7 @@
     pub fn target_replaced(&mut self, now: Instant) {
         self.notice = Tracker::default();
         self.pacer.set_rate(None, now);
+        self.set_closed(Closed::TargetLeaving, false, now);
         self.rate.mark_cold(now);
         self.warmup.target_restarted(self.next_start_index);
     }
--- a/crates/basilbay_admission/tests/notice.rs
+++ b/crates/basilbay_admission/tests/notice.rs
@@ -1,9 +1,17 @@
 //! Statements of the target: how long they hold, also if responses overtake each other.
 
+#[path = "support/fixture.rs"]
+mod fixture;
+
 use std::time::{Duration, Instant};
 
+use basilbay_admission::gate::{Action, Closed, Decision, Gate, Startup};
 use basilbay_admission::notice::{Change, Tracker};
+use basilbay_model::service::Contract;
+use basilbay_wire::load::State;
 use basilbay_wire::notice::{Notice, RateLimit};
+use basilbay_wire::problem::Cause;
+use fixture::{contract, request};
 
 fn stated(rate: f64) -> Notice {
     Notice {
@@ -72,3 +80,24 @@
     assert_eq!(tracker.observe(&malformed, at(4), at(5)), []);
     assert_eq!(tracker.rate(), Some(5.0));
 }
+
+/// Guards against new and queued requests that start on a target which states that it is leaving,
+/// whatever the instance list says, and against a next run that inherits the statement.
+#[test]
+fn leaving_closes_gate() {
+    let now = Instant::now();
+    let contract: Contract = contract(1, 5, 1, 0);
+    let mut gate = Gate::new(&contract, Startup::Fresh, now);
+    let mut offer = |gate: &mut Gate, id| gate.offer(request(id, 1, 60_000, now), now);
+    assert_eq!(offer(&mut gate, 1), Decision::Run);
+    assert_eq!(offer(&mut gate, 2), Decision::Wait);
+    gate.observe_notice(&leaving(), now, now);
+    let refused = Action::Refuse(2, Cause::Leaving);
+    assert_eq!(gate.drain_actions().collect::<Vec<_>>(), [refused]);
+    // The instance list has the target as live.
+    gate.set_closed(Closed::Leaving, false, now);
+    assert_eq!(offer(&mut gate, 3), Decision::Refuse(Cause::Leaving));
+    assert_eq!(gate.load(now).state, State::Leaving);
+    gate.target_replaced(now);
+    assert_eq!(gate.load(now).state, State::Warm);
+}
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -204,15 +204,18 @@
         self.apply_actions(&mut inner);
     }
 
-    /// Records what the target states in a response to a request or probe sent at `sent_at`.
-    pub fn observe_notice(&self, notice: &Notice, sent_at: Instant) {
+    /// Records what the target states in a response to a request or probe sent at `sent_at`; returns
+    /// whether it changes something.
+    pub fn observe_notice(&self, notice: &Notice, sent_at: Instant) -> bool {
         let changes = {
             let mut inner = self.lock();
             let changes = inner.gate.observe_notice(notice, sent_at, Instant::now());
             self.apply_actions(&mut inner);
             changes
         };
+        let is_changed = !changes.is_empty();
         changes.into_iter().for_each(report::target_notice);
+        is_changed
     }
 
     /// Records that a probe which the gate requested ended, and whether it succeeded.
--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -254,8 +254,7 @@
 async fn probe_load(daemon: &Daemon) -> Result<Report> {
     let sent_at = Instant::now();
     let (_, headers, bytes) = get(daemon, "/load").await?;
-    let notice = daemon.dialect.notice(&headers);
-    daemon.admission.observe_notice(&notice, sent_at);
+    daemon.observe_notice(&headers, sent_at);
     let report: LoadReport = serde_json::from_slice(&bytes)?;
     Ok(Report {
         in_flight: report.in_flight,
@@ -288,8 +287,7 @@
             (cold_ms / 1000.0).min(MAX_COLD_START_S),
         ));
     }
-    let notice = dialect.notice(&headers);
-    daemon.admission.observe_notice(&notice, sent_at);
+    daemon.observe_notice(&headers, sent_at);
     let sample = dialect.load_sample(&headers);
     if let Some(sample) = sample {
         daemon.admission.observe_slowdown(sample.slowdown_percent);
--- a/crates/basilbay_daemon/src/local.rs
+++ b/crates/basilbay_daemon/src/local.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use http::HeaderMap;
+
 use basilbay_admission::gate::Closed;
 use basilbay_events::catalogue;
 use basilbay_events::emit;
@@ -80,6 +82,16 @@
         self.local.store(Arc::new(target));
     }
 
+    /// Records what the local target states in the head of a response to a request or probe sent at
+    /// `sent_at`; callers' daemons are told of a change at once.
+    pub(crate) fn observe_notice(&self, headers: &HeaderMap, sent_at: Instant) {
+        let notice = self.dialect.notice(headers);
+        if self.admission.observe_notice(&notice, sent_at) {
+            self.update_local_load();
+            self.publish_load();
+        }
+    }
+
     /// Returns the local target as the roster describes it.
     pub fn local_target(&self) -> Arc<Target> {
         self.local.load_full()
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -125,8 +125,7 @@
     }
     // Status 421 comes from another run, whose statements do not concern this one.
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
-        let notice = daemon.dialect.notice(response.headers());
-        daemon.admission.observe_notice(&notice, sent_at);
+        daemon.observe_notice(response.headers(), sent_at);
     }
     if let Some(problem) = refusal(daemon, &response) {
         // The rest of the response is not read, so the connection is dropped with it.
--- a/crates/basilbay_daemon/tests/target_notices.rs
+++ b/crates/basilbay_daemon/tests/target_notices.rs
@@ -139,3 +139,23 @@
     assert!(count >= 5, "{count} requests: the limit is not used");
     assert_eq!(failed, 0, "the other target has room for all");
 }
+
+/// Guards against requests to a target that states in its responses that it is leaving, while the
+/// instance list still has it as live, and against a target that gets none after it has stayed.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_stated_by_target() {
+    let (fleet, target) = start_fleet(2).await;
+    let start = Instant::now();
+    run_load(entries(&fleet), NOTICE_TIME).await;
+    assert!(target.arrivals_since(start) > 0);
+    target.state_notice("basilbay-leaving: 1\r\n");
+    run_load(entries(&fleet), NOTICE_TIME).await;
+    let from = Instant::now();
+    let (_, failed) = run_load(entries(&fleet), Duration::from_secs(3)).await;
+    assert_eq!(target.arrivals_since(from), 0);
+    assert_eq!(failed, 0, "the other target has room for all");
+    target.state_notice("");
+    let from = Instant::now();
+    run_load(entries(&fleet), Duration::from_secs(3)).await;
+    assert!(target.arrivals_since(from) > 0, "the target stays");
+}
