--- a/crates/basilbay_admission/tests/notice.rs
+++ b/crates/basilbay_admission/tests/notice.rs
@@ -88,7 +88,7 @@
     let now = Instant::now();
     let contract: Contract = contract(1, 5, 1, 0);
     let mut gate = Gate::new(&contract, Startup::Fresh, now);
-    let mut offer = |gate: &mut Gate, id| gate.offer(request(id, 1, 60_000, now), now);
+    let offer = |gate: &mut Gate, id| gate.offer(request(id, 1, 60_000, now), now);
     assert_eq!(offer(&mut gate, 1), Decision::Run);
     assert_eq!(offer(&mut gate, 2), Decision::Wait);
     gate.observe_notice(&leaving(), now, now);
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -87,6 +87,9 @@
     ROSTER_OLDER 207 Warning "roster-older"
         "A source offered an instance list older than the active one; it was ignored."
         "If it persists, look for a stale replica of the instance list.";
+    PLATFORM_RESTORED 208 Warning "platform-restored"
+        "The platform came back from an older copy of its content; `before` and `era` count its restorations."
+        "Check that the configuration and evacuations of the time before are published again.";
     TARGET_DOWN 300 Error "target-down"
         "The target refuses new connections or has reset all open ones."
         "Check the target's log; the daemon keeps retrying.";
