Order versions by the era of the store before its revision

Cause: the adapter took the store's revision for a version that only increases. After a restoration the store gives out revisions again, so later changes have versions that are not above the one in force: the source does not offer them and the view refuses them. The class: a number is compared across the restart of its count. A second fault of it: a watch that continues from a revision of the era before gets no 410 once the new era has passed it, and misses what lies between. Ruled out by the log: a missed or late read (the change was read 14 ms after it was acknowledged).

--- a/crates/basilbay_model/src/id.rs
+++ b/crates/basilbay_model/src/id.rs
@@ -24,7 +24,8 @@
 /// start, at the same address too.
 pub type RunId = Arc<str>;
 
-/// Version of a published configuration or roster; it only increases.
+/// Version of a published configuration or roster; it only increases. See [`crate::version`] for a
+/// platform that gives out its revisions again.
 pub type Version = u64;
 
 /// SHA-256 of a published value; distinguishes different contents with the same version.
--- a/crates/basilbay_model/src/lib.rs
+++ b/crates/basilbay_model/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod roster;
 pub mod route;
 pub mod service;
+pub mod version;
