Keep what was in force until the restored platform is written again

After a restoration the store holds a copy that is some seconds old until the operator and the workers write again.

Cause: a later write of the platform is taken for later content. Within an era that is so; the copy is written later and its content is older.

Configurations carry the operators' own number (serial); content of a later era with a lower one is ignored (event 209), and the platform is watched on without delay. Only what is put in force differs, so peers still agree on the view.

--- a/crates/basilbay_admission/src/pacer.rs
+++ b/crates/basilbay_admission/src/pacer.rs
@@ -60,16 +60,15 @@
     /// Creates a pacer without a limit; with `may_be_limited`, the target ran before and may have
     /// stated a rate.
     pub fn new(may_be_limited: bool, now: Instant) -> Self {
-        let mut pacer = Self {
-            pace: Pace::Free,
-            due_at: now,
+        Self {
+            pace: if may_be_limited {
+                Pace::new(UNKNOWN_RATE)
+            } else {
+                Pace::Free
+            },
+            due_at: now + BURST,
             is_unknown: may_be_limited,
-        };
-        if may_be_limited {
-            pacer.set_rate(Some(UNKNOWN_RATE), now);
         }
-        pacer.is_unknown = may_be_limited;
-        pacer
     }
 
     /// Applies the rate that the target states; `None` for no limit.
--- a/crates/basilbay_daemon/src/daemon/view.rs
+++ b/crates/basilbay_daemon/src/daemon/view.rs
@@ -19,6 +19,7 @@
     pub(super) fn empty() -> Self {
         let config = Config {
             version: 0,
+            serial: 0,
             domains: Vec::new(),
             services: Vec::new(),
             routes: Vec::new(),
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -90,6 +90,9 @@
     PLATFORM_RESTORED 208 Warning "platform-restored"
         "The platform came back from an older copy of its content; `before` and `era` count its restorations."
         "Check that the configuration and evacuations of the time before are published again.";
+    CONFIG_SUPERSEDED 209 Warning "config-superseded"
+        "After a restoration of the platform, a source offered content with a lower serial than the active configuration; it was ignored."
+        "Publish the configuration of the active serial again, or one with a higher serial.";
     TARGET_DOWN 300 Error "target-down"
         "The target refuses new connections or has reset all open ones."
         "Check the target's log; the daemon keeps retrying.";
--- a/crates/basilbay_membership/src/event.rs
+++ b/crates/basilbay_membership/src/event.rs
@@ -1,7 +1,7 @@
 //! Events that a node reports to the log. Names of variants and fields appear in log lines.
 
 use basilbay_model::finding::Report;
-use basilbay_model::id::{InstanceId, Version};
+use basilbay_model::id::{InstanceId, Serial, Version};
 
 use crate::action::Source;
 
@@ -47,6 +47,16 @@
         /// Source of the older version.
         source: Source,
     },
+    /// A source offers content from before the active configuration, of a platform that came back
+    /// from an older copy.
+    ConfigSuperseded {
+        /// Serial offered.
+        offered: Serial,
+        /// Active serial.
+        serial: Serial,
+        /// Source of the older content.
+        source: Source,
+    },
     /// A roster became active.
     RosterAccepted {
         /// Its version.
@@ -113,6 +123,7 @@
             Self::PlatformUnreachable { .. } => 205,
             Self::RosterConflict { .. } => 206,
             Self::RosterOlder { .. } => 207,
+            Self::ConfigSuperseded { .. } => 209,
             Self::EditsMismatch { .. } => 600,
             Self::PullFailed { .. } => 601,
             Self::PeerLeaving { .. } => 602,
--- a/crates/basilbay_membership/src/lib.rs
+++ b/crates/basilbay_membership/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod pull;
 pub mod reader;
 pub mod readiness;
+pub mod restoration;
 pub mod view;
--- a/crates/basilbay_membership/src/node.rs
+++ b/crates/basilbay_membership/src/node.rs
@@ -29,6 +29,7 @@
 use crate::pause::Monitor;
 use crate::pull::{InFlight, Tracker};
 use crate::reader::{self, Backoff, MAX_JITTER};
+use crate::restoration::Restoration;
 use crate::view::{ConfigView, RosterView};
 
 /// Time after accepting a version during which a peer with an older one is not notified again,
@@ -89,6 +90,7 @@
     state: State,
     config_view: ConfigView,
     roster_view: RosterView,
+    restoration: Restoration,
     /// When a version was last accepted and announced.
     announced_at: Instant,
     first_roster_at: Option<Instant>,
@@ -129,6 +131,7 @@
             state: State::Cold,
             config_view: ConfigView::default(),
             roster_view: RosterView::default(),
+            restoration: Restoration::default(),
             announced_at: now,
             first_roster_at: None,
             pause_monitor: Monitor::new(now),
--- a/crates/basilbay_membership/src/node/config.rs
+++ b/crates/basilbay_membership/src/node/config.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use basilbay_model::config::Config;
 use basilbay_model::id::{InstanceId, Version};
 use basilbay_wire::control::{ConfigBody, Text};
 use basilbay_wire::datagram::Heartbeat;
@@ -163,9 +164,10 @@
 
     fn offer_config(&mut self, text: &Arc<str>, pull: &Pull, now: Instant) {
         let from_platform = pull.source == Source::Platform;
+        let before = self.current_config().cloned();
         match self.config_view.offer(text) {
             Verdict::Accepted => {
-                self.accept_config(pull, now);
+                self.accept_config(before.as_deref(), pull, now);
                 self.record_config_read(pull);
             }
             Verdict::Unchanged => self.record_config_read(pull),
@@ -179,6 +181,20 @@
                 }
                 self.reject_config(pull, now);
             }
+            Verdict::Superseded(offered) => {
+                if !self.config_view.is_repeated_rejection(text) {
+                    let current = self.config_view.current();
+                    self.push_event(Event::ConfigSuperseded {
+                        offered,
+                        serial: current.map_or(0, |current| current.config.serial),
+                        source: pull.source.clone(),
+                    });
+                }
+                // The operators' next write is due soon, so the platform is watched without delay.
+                if from_platform {
+                    self.platform.config_backoff.record_success();
+                }
+            }
             Verdict::Conflict => {
                 self.report_conflict(
                     digest_prefix(&crate::view::digest(text)),
@@ -198,19 +214,30 @@
         }
     }
 
-    fn accept_config(&mut self, pull: &Pull, now: Instant) {
+    fn accept_config(&mut self, before: Option<&Config>, pull: &Pull, now: Instant) {
         let Some(current) = self.config_view.current() else {
             return;
         };
         let config = current.config.clone();
+        if let Some(before) = before {
+            self.restoration.observe_config(before, &config, now);
+        }
         self.push_event(Event::ConfigAccepted {
             version: config.version,
             source: pull.source.clone(),
         });
-        self.push_action(Action::ApplyConfig(config));
+        self.apply_config(now);
         self.announce(EAGER_FANOUT, now);
     }
 
+    /// Puts the active configuration in force, with what a restoration of the platform keeps.
+    pub(super) fn apply_config(&mut self, now: Instant) {
+        if let Some(config) = self.current_config() {
+            let config = self.restoration.config(config, now);
+            self.push_action(Action::ApplyConfig(config));
+        }
+    }
+
     /// Records that the platform has the active configuration.
     fn record_config_read(&mut self, pull: &Pull) {
         if pull.source == Source::Platform {
--- a/crates/basilbay_membership/src/node/roster.rs
+++ b/crates/basilbay_membership/src/node/roster.rs
@@ -129,9 +129,10 @@
         self.platform.config_read_due |= from_platform && has_config && !self.is_reader();
         // A response without instances states that the peer is ready and knows no newer version.
         let may_confirm = from_platform || roster.instances.is_empty();
+        let before = self.current_roster().cloned();
         match self.roster_view.offer(roster) {
             Verdict::Accepted => {
-                self.accept_roster(pull, now);
+                self.accept_roster(before.as_deref(), pull, now);
                 if from_platform {
                     self.platform.roster_backoff.record_success();
                     self.confirm(Part::Roster, pull);
@@ -156,7 +157,7 @@
                 }
                 self.reject_roster(pull, now);
             }
-            Verdict::Conflict | Verdict::Rejected(_) => {
+            Verdict::Conflict | Verdict::Rejected(_) | Verdict::Superseded(_) => {
                 self.push_event(Event::RosterConflict {
                     version,
                     source: pull.source.clone(),
@@ -184,10 +185,13 @@
         }
     }
 
-    fn accept_roster(&mut self, pull: &Pull, now: Instant) {
+    fn accept_roster(&mut self, before: Option<&Roster>, pull: &Pull, now: Instant) {
         let Some(roster) = self.roster_view.roster().cloned() else {
             return;
         };
+        if let Some(before) = before {
+            self.restoration.observe_roster(before, &roster, now);
+        }
         self.mark_roster_advanced(now);
         self.first_roster_at.get_or_insert(now);
         self.bootstrap = None;
@@ -204,10 +208,18 @@
             version: roster.version,
             source: pull.source.clone(),
         });
-        self.push_action(Action::ApplyRoster(roster));
+        self.apply_roster(now);
         self.announce(ROSTER_FANOUT, now);
     }
 
+    /// Puts the active roster in force, with what a restoration of the platform keeps.
+    pub(super) fn apply_roster(&mut self, now: Instant) {
+        if let Some(roster) = self.current_roster() {
+            let roster = self.restoration.roster(roster, now);
+            self.push_action(Action::ApplyRoster(roster));
+        }
+    }
+
     fn reject_roster(&mut self, pull: &Pull, now: Instant) {
         if pull.source == Source::Platform {
             self.back_off_roster(now);
--- a/crates/basilbay_membership/src/node/tick.rs
+++ b/crates/basilbay_membership/src/node/tick.rs
@@ -35,6 +35,12 @@
         self.observe(now);
         self.pause_monitor.tick(now);
         self.expire_pulls(now);
+        if self.restoration.roster_expired(now) {
+            self.apply_roster(now);
+        }
+        if self.restoration.config_expired(now) {
+            self.apply_config(now);
+        }
         self.read_contacts(now);
         self.poll_roster(now);
         self.refresh_config(now);
--- a/crates/basilbay_membership/src/view.rs
+++ b/crates/basilbay_membership/src/view.rs
@@ -9,9 +9,10 @@
 
 use basilbay_model::config::Config;
 use basilbay_model::finding::Report;
-use basilbay_model::id::{Digest, Version};
+use basilbay_model::id::{Digest, Serial, Version};
 use basilbay_model::ini::Document;
 use basilbay_model::roster::{Instance, Roster, Timestamp};
+use basilbay_model::version;
 use basilbay_wire::control::{Changes, Edit};
 use sha2::{Digest as _, Sha256};
 
@@ -31,6 +32,9 @@
     Unchanged,
     /// The offered one has this version, which is older than the active one.
     Older(Version),
+    /// The offered one comes from an older copy of the platform's content: it has a later era and
+    /// this serial, which is lower than the active one.
+    Superseded(Serial),
     /// The offered one has the active version but different content.
     Conflict,
     /// The offered one has these findings.
@@ -68,7 +72,7 @@
     history: History,
     /// Digest of the last rejected text; `None` if no text was rejected.
     last_rejected: Option<Digest>,
-    /// Highest version declared by a rejected text; 0 if none was rejected.
+    /// Highest version of a rejected or superseded text; 0 if there was none.
     highest_seen: Version,
 }
 
@@ -92,7 +96,7 @@
             .map_or([0; 32], |current| current.digest)
     }
 
-    /// Highest version that was offered, including rejected ones.
+    /// Highest version that was offered, including rejected and superseded ones.
     ///
     /// Watches start after this version; otherwise a rejected file would be delivered again
     /// immediately.
@@ -139,6 +143,11 @@
         if config.version == self.version() {
             return Verdict::Conflict;
         }
+        if self.is_superseded(&config) {
+            // The next watch waits for a later one.
+            self.highest_seen = self.highest_seen.max(config.version);
+            return Verdict::Superseded(config.serial);
+        }
         self.history.push(config.version, text.clone());
         self.current = Some(Current {
             config: Arc::new(config),
@@ -148,6 +157,15 @@
         Verdict::Accepted
     }
 
+    /// Whether a configuration of a later era has content from before the active one. Within an era,
+    /// the version alone decides.
+    fn is_superseded(&self, offered: &Config) -> bool {
+        self.current.as_ref().is_some_and(|current| {
+            version::era(offered.version) > version::era(current.config.version)
+                && offered.serial < current.config.serial
+        })
+    }
+
     /// Applies edits to the active text; `None` if the result does not have the expected digest.
     pub fn apply_edits(&self, edits: &[Edit], expected: &Digest) -> Option<Arc<str>> {
         let current = self.current.as_ref()?;
--- a/crates/basilbay_model/src/config.rs
+++ b/crates/basilbay_model/src/config.rs
@@ -19,7 +19,7 @@
 
 use crate::domain::{Domain, State};
 use crate::finding::Report;
-use crate::id::Version;
+use crate::id::{Serial, Version};
 use crate::route::{self, Route};
 use crate::service::Service;
 
@@ -77,6 +77,9 @@
 pub struct Config {
     /// Version of the file.
     pub version: Version,
+    /// Number that the operators give this content, which increases with each change; 0 if they give
+    /// none. Unlike the version, it does not depend on the platform.
+    pub serial: Serial,
     /// Failure domains, sorted by id.
     pub domains: Vec<Domain>,
     /// Services, sorted by id.
--- a/crates/basilbay_model/src/config/parse.rs
+++ b/crates/basilbay_model/src/config/parse.rs
@@ -11,7 +11,7 @@
 use super::{Config, Limits, MAX_CONFIG_BYTES, Result, check, range};
 use crate::domain::{Domain, State};
 use crate::finding::{Finding, Report};
-use crate::id::KindId;
+use crate::id::{KindId, Serial, Version};
 use crate::ini::{self, Document, Reader, Section};
 use crate::kind::Kind;
 use crate::route::{Destination, Route};
@@ -80,7 +80,7 @@
         &["domain", "service", "kind", "route"],
         &mut report,
     );
-    let version = version(&document, &mut report);
+    let (version, serial) = version(&document, &mut report);
     let limits = limits(&document, &mut report);
     let domains = domains(&document, &mut report);
     let mut services = services(&document, &mut report);
@@ -98,6 +98,7 @@
     }
     Ok(Config {
         version,
+        serial,
         domains,
         services,
         routes,
@@ -125,14 +126,15 @@
     document.finding(section.line, &section.name, "", rule, message)
 }
 
-fn version(document: &Document, report: &mut Report) -> u64 {
+fn version(document: &Document, report: &mut Report) -> (Version, Serial) {
     let Some(section) = document.required_section("basilbay", report) else {
-        return 0;
+        return (0, 0);
     };
     let mut reader = Reader::new(document, section, report);
     let version = reader.required_bounded("version", range::VERSION);
+    let serial = reader.bounded("serial", 0, range::SERIAL);
     reader.finish();
-    version.unwrap_or(0)
+    (version.unwrap_or(0), serial)
 }
 
 fn limits(document: &Document, report: &mut Report) -> Limits {
--- a/crates/basilbay_model/src/config/print.rs
+++ b/crates/basilbay_model/src/config/print.rs
@@ -26,8 +26,11 @@
 /// Returns all sections: the version, the limits, then domains, services with their kinds, and
 /// routes.
 pub fn sections(config: &Config) -> Vec<Section> {
-    let version = section("basilbay", vec![("version", config.version.to_string())]);
-    let mut sections = vec![version, limits_section(&config.limits)];
+    let mut entries = vec![("version", config.version.to_string())];
+    if config.serial > 0 {
+        entries.push(("serial", config.serial.to_string()));
+    }
+    let mut sections = vec![section("basilbay", entries), limits_section(&config.limits)];
     sections.extend(config.domains.iter().map(domain_section));
     for service in &config.services {
         sections.push(service_section(service));
--- a/crates/basilbay_model/src/config/range.rs
+++ b/crates/basilbay_model/src/config/range.rs
@@ -7,6 +7,8 @@
 
 /// `[basilbay] version`; the upper bound is the largest integer that JSON parsers represent exactly.
 pub const VERSION: RangeInclusive<u64> = 1..=9_007_199_254_740_991;
+/// `[basilbay] serial`.
+pub const SERIAL: RangeInclusive<u64> = 0..=*VERSION.end();
 /// `[limits] retry_percent`, in percent of a service's calls.
 pub const RETRY_PERCENT: RangeInclusive<u32> = 0..=100;
 /// `[limits] allowance`; the attempts of one call cannot exceed it at any depth of the chain.
--- a/crates/basilbay_model/src/id.rs
+++ b/crates/basilbay_model/src/id.rs
@@ -28,5 +28,8 @@
 /// platform that gives out its revisions again.
 pub type Version = u64;
 
+/// Number that operators give the content of a configuration.
+pub type Serial = u64;
+
 /// SHA-256 of a published value; distinguishes different contents with the same version.
 pub type Digest = [u8; 32];
--- a/crates/basilbay_model/tests/reference.rs
+++ b/crates/basilbay_model/tests/reference.rs
@@ -45,6 +45,7 @@
 fn ranges_listed() {
     let ranges = [
         ("version", range::VERSION),
+        ("serial", range::SERIAL),
         ("retry_percent", widen(range::RETRY_PERCENT)),
         ("allowance", widen(range::ALLOWANCE)),
         ("key_retention_ms", range::KEY_RETENTION_MS),
