Take a lapsed target that has written again as back

A target whose entry lapsed while it was cut off, and that wrote it again in the same run, counted as one that has left for a minute. After a restoration within that time its entry in the copy was left out for 6 s, 4 s of them without the entry that is kept from before.

Cause: departures were remembered and returns were not. A run that is listed again or changes its entry is now forgotten as departed.

Found by reading the change; lapsed_target_kept failed before and passes.

--- a/crates/basilbay_membership/src/restoration.rs
+++ b/crates/basilbay_membership/src/restoration.rs
@@ -83,6 +83,12 @@
                 });
             }
         }
+        // An entry that had lapsed while its writer was cut off is written again by the same run.
+        let is_back = |new: &&Instance| before.instance(&new.id) != Some(*new);
+        for new in after.instances.iter().filter(is_back) {
+            self.departed
+                .retain(|departed| departed.id != new.id || departed.run != new.target);
+        }
         let excess = self.departed.len().saturating_sub(MAX_DEPARTED);
         self.departed.drain(..excess);
     }
--- a/crates/basilbay_membership/tests/restored.rs
+++ b/crates/basilbay_membership/tests/restored.rs
@@ -211,6 +211,20 @@
     assert_eq!(reader.state(1), None);
 }
 
+/// Guards against a target that is left out after a restoration because its entry had lapsed once and
+/// was written again.
+#[test]
+fn lapsed_target_kept() {
+    let mut reader = Reader::new();
+    let live = |index| running(index, "a", State::Live);
+    reader.read_roster(before(3), &[live(0), live(1)]);
+    reader.read_roster(before(4), &[live(0)]);
+    reader.read_roster(before(5), &[live(0), live(1)]);
+    reader.read_roster(after(3), &[live(0), live(1)]);
+    reader.run(3000);
+    assert_eq!(reader.state(1), Some(State::Live));
+}
+
 /// Guards against a target that was replaced since the copy and whose previous run gets requests.
 #[test]
 fn replaced_target_kept() {
