--- a/crates/basilbay_admission/src/pacer.rs
+++ b/crates/basilbay_admission/src/pacer.rs
@@ -3,11 +3,11 @@
 //! Every request to the target passes its gate, so the gate alone keeps the rate, without any
 //! agreement among the callers' daemons. The pacer is a generic cell rate algorithm: it stores when
 //! a request that follows all earlier ones at the stated rate is due, and starts requests up to
-//! [`BURST`] ahead of that time. A rate that has just been stated starts without credit, because the
+//! `BURST` ahead of that time. A rate that has just been stated starts without credit, because the
 //! target states it when it is in need.
 //!
 //! A daemon that starts beside a running target cannot know whether the target has stated a rate.
-//! Until the target's first response, it keeps to [`UNKNOWN_RATE`].
+//! Until the target's first response, it keeps to `UNKNOWN_RATE`.
 
 use std::time::{Duration, Instant};
 
