--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,27 @@
+//! The cases.
+
+mod crash;
+mod foreign;
+mod load;
+mod poison;
+
+use crate::fleet::Result;
+use crate::record::Record;
+
+/// Plays a case; returns whether the rule was broken.
+pub fn play(case: &str, is_troubled: bool, record: &Record) -> Result<bool> {
+    record.line(&format!(
+        "case {case}, {} disruption",
+        if is_troubled {
+            "with its"
+        } else {
+            "without its"
+        }
+    ));
+    match case {
+        "crash" => crash::play(is_troubled, record),
+        "poison" => poison::play(is_troubled, record),
+        "foreign" => foreign::play(is_troubled, record),
+        other => Err(format!("no case {other}")),
+    }
+}
