Show that two crashes at once make a route unusable

Seen with review/2/run.sh: both workers of fitfinder in one zone crash while they run requests of the same path, on a route that a configuration added. Without the crash all are served. Every daemon of the service refuses the path for 600 s as a request that crashes targets.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
+exec target/review/harness crash "$folder"
