--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -22,8 +22,7 @@
 /// Requests that a worker queues.
 const QUEUE: u32 = 36;
 
-/// Header of a request that crashes each worker that begins to run it. It stands for content of the
-/// request; the clients send such requests always with the same path and body.
+/// End of the path of a request that crashes each worker that begins to run it.
 pub const POISON_PATH: &str = "/poison";
 
 /// What reached a worker.
