--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/harness review/standin/main.rs
+rustc --edition 2024 -O -o target/review/harness review/main.rs
--- a/review/standin/cases.rs
+++ b/review/cases.rs
@@ -1,12 +1,8 @@
-//! The cases.
-
-mod crash;
-mod foreign;
-mod load;
-mod poison;
+//! The cases by name.
 
 use crate::fleet::Result;
 use crate::record::Record;
+use crate::{crash, foreign, poison};
 
 /// Plays a case; returns whether the rule was broken.
 pub fn play(case: &str, is_troubled: bool, record: &Record) -> Result<bool> {
--- a/review/standin/cases/crash.rs
+++ b/review/crash.rs
@@ -6,9 +6,9 @@
 use std::thread;
 use std::time::Duration;
 
-use super::load::{Kind, Load, served};
 use crate::client::Request;
 use crate::fleet::{Fleet, Place, Result};
+use crate::load::{Kind, Load, served};
 use crate::record::Record;
 
 /// First configuration, with three kinds of request, or the later one that adds a route.
--- a/review/standin/cases/foreign.rs
+++ b/review/foreign.rs
@@ -4,9 +4,9 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use super::crash::{PLACES, config, first_kinds, kind};
-use super::load::{Load, served};
+use crate::crash::{PLACES, config, first_kinds, kind};
 use crate::fleet::{Fleet, Result};
+use crate::load::{Load, served};
 use crate::record::Record;
 
 /// Machines of fitfinder, on which the other programs run.
--- a/review/standin/main.rs
+++ b/review/main.rs
@@ -8,9 +8,13 @@
 
 mod cases;
 mod client;
+mod crash;
 mod daemon;
 mod fleet;
+mod foreign;
 mod http;
+mod load;
+mod poison;
 mod record;
 mod store;
 mod worker;
--- a/review/standin/cases/poison.rs
+++ b/review/poison.rs
@@ -4,10 +4,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::crash::{config, first_kinds, kind};
-use super::load::Load;
+use crate::crash::{config, first_kinds, kind};
 use crate::daemon::SIGTERM;
 use crate::fleet::{Fleet, Place, Result};
+use crate::load::Load;
 use crate::record::Record;
 
 /// `grace_s`, after which the platform kills a process that was told to stop.
--- a/review/standin/worker.rs
+++ b/review/worker.rs
@@ -297,7 +297,7 @@
         if !is_complete {
             return None;
         }
-        Some(self.respond(&state, 200, &request, "X-Response-Seal: 1.2.3.4\r\n"))
+        Some(self.respond(&state, 200, &request, "X-Response-Seal: a1b2c3d4\r\n"))
     }
 
     /// Works on a request; returns whether the client stayed.
