Count crashes against a request only if its run began after an earlier one

Cause: any request in flight during two crashes was taken for their cause, and no completion could clear it. A popular path is in flight on every target at any time.

Now a crash is evidence only if the run was isolated or a trial, so that it began after an earlier crash was known. A refused request comes back by trials: single runs on one target that all daemons choose by rendezvous, at once if no such run has crashed, and after 5, 25 and 125 s if one has. Related paths: requests that were never handed over and the planned end of a target do not count; a queued request is checked again when it starts; a streamed response clears with its last byte, and one that breaks off midway is in flight during the check.

Ruled out: crashes within a time window counted once (a request resent at once crashes the next target within it); any completion clears (a request that crashes some of its targets would never be contained).

Where a run began is now stated, which the former counts did not need.

--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -12,6 +12,7 @@
 use basilbay_admission::gate::{Action, Closed, Completion, Decision, Gate, Stage, Startup};
 use basilbay_admission::probe::Report;
 use basilbay_admission::request::{self, RequestId};
+use basilbay_keys::suspect::Run;
 use basilbay_model::service::Contract;
 use basilbay_wire::load::{Load, State};
 use basilbay_wire::notice::Notice;
@@ -45,8 +46,6 @@
     pub suspect: bool,
     /// Whether the request may queue for a permit.
     pub may_wait: bool,
-    /// Hash that identifies the request if the target crashes.
-    pub fingerprint: u64,
 }
 
 struct Waiter {
@@ -58,8 +57,8 @@
     gate: Gate,
     /// Sorted by id, because ids only increase.
     waiters: Vec<Waiter>,
-    /// Running requests with their fingerprints.
-    running: Vec<(RequestId, u64)>,
+    /// Requests that were handed to the target, which may be the cause if it crashes.
+    running: Vec<(RequestId, Run)>,
     next_id: RequestId,
     started: u64,
     completed: u64,
@@ -127,7 +126,7 @@
             let decision = inner.gate.offer(request, Instant::now());
             self.apply_actions(&mut inner);
             match decision {
-                Decision::Run => return Ok(self.permit(&mut inner, id, requirements.fingerprint)),
+                Decision::Run => return Ok(self.permit(&mut inner, id)),
                 Decision::Refuse(cause) => return Err(inner.refuse(cause)),
                 Decision::Wait => {}
             }
@@ -145,7 +144,7 @@
         let mut inner = self.lock();
         guard.is_finished = true;
         match result {
-            Ok(Ok(())) => Ok(self.permit(&mut inner, id, requirements.fingerprint)),
+            Ok(Ok(())) => Ok(self.permit(&mut inner, id)),
             Ok(Err(cause)) => Err(inner.refuse(cause)),
             Err(_) => Err(inner.refuse(Cause::NoCapacity)),
         }
@@ -248,14 +247,10 @@
         self.apply_actions(&mut inner);
     }
 
-    /// Returns the fingerprints of the requests that run on the target.
-    pub fn running(&self) -> Vec<u64> {
+    /// Returns the requests that run on the target.
+    pub fn running(&self) -> Vec<Run> {
         let inner = self.lock();
-        inner
-            .running
-            .iter()
-            .map(|(_, fingerprint)| *fingerprint)
-            .collect()
+        inner.running.iter().map(|(_, run)| *run).collect()
     }
 
     /// Whether no request runs or is queued.
@@ -284,9 +279,8 @@
         (inner.gate.queued() > 0).then(|| inner.gate.next_deadline(now).unwrap_or(now))
     }
 
-    fn permit(self: &Arc<Self>, inner: &mut Inner, id: RequestId, fingerprint: u64) -> Permit {
+    fn permit(self: &Arc<Self>, inner: &mut Inner, id: RequestId) -> Permit {
         inner.started += 1;
-        inner.running.push((id, fingerprint));
         Permit {
             admission: self.clone(),
             id,
@@ -381,6 +375,17 @@
 }
 
 impl Permit {
+    /// Records that the request is handed to the target.
+    pub fn record_run(&self, run: Run) {
+        self.admission.lock().running.push((self.id, run));
+    }
+
+    /// Records that the request did not reach the target after all.
+    pub fn retract_run(&self) {
+        let mut inner = self.admission.lock();
+        inner.running.retain(|(running, _)| *running != self.id);
+    }
+
     /// Releases the permit and records how the request ended.
     pub fn finish(mut self, completion: Completion) {
         self.is_finished = true;
--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -19,6 +19,8 @@
 use basilbay_admission::window::Window;
 use basilbay_events::catalogue;
 use basilbay_events::emit;
+use basilbay_keys::suspect::Run;
+use basilbay_wire::load::State;
 
 use crate::body;
 use crate::daemon::Daemon;
@@ -108,8 +110,13 @@
         self.record_crash(daemon, &in_flight).await;
     }
 
-    async fn record_crash(&self, daemon: &Arc<Daemon>, in_flight: &[u64]) {
+    async fn record_crash(&self, daemon: &Arc<Daemon>, in_flight: &[Run]) {
+        let is_leaving = daemon.admission.state() == State::Leaving;
         self.set_down(daemon, true);
+        // A target that leaves by plan ends with the requests that it has not completed.
+        if is_leaving {
+            return;
+        }
         daemon
             .suspects
             .record_crash(daemon, in_flight, Instant::now());
--- a/crates/basilbay_daemon/src/suspects.rs
+++ b/crates/basilbay_daemon/src/suspects.rs
@@ -2,7 +2,8 @@
 //!
 //! When a target crashes, every request that was running on it becomes a suspect. Suspicions are sent
 //! by datagram to the daemons of the sibling targets, which then refuse such a request or run it
-//! without another suspect beside it. A request that completes is no longer suspect.
+//! without another suspect beside it. [`basilbay_keys::suspect`] decides how a suspect may run and
+//! when it is no longer one.
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -10,8 +11,9 @@
 
 use basilbay_events::catalogue;
 use basilbay_events::emit;
-use basilbay_keys::suspect::{Disposition, Suspects};
+use basilbay_keys::suspect::{self, Disposition, Run, Suspects};
 use basilbay_model::id::{InstanceId, ServiceId};
+use basilbay_model::roster::State as InstanceState;
 use basilbay_wire::datagram::{Body, Suspicion};
 
 use crate::daemon::Daemon;
@@ -43,24 +45,72 @@
     }
 
     /// Returns whether a request may run, and whether other suspects may run beside it.
-    pub fn check(&self, fingerprint: u64, now: Instant) -> Disposition {
-        lock(&self.suspects).check(fingerprint, now)
+    pub fn check(&self, daemon: &Daemon, fingerprint: u64, now: Instant) -> Disposition {
+        let is_tester = self.is_tester(daemon, fingerprint);
+        lock(&self.suspects).check(fingerprint, is_tester, now)
     }
 
-    /// Records that a request completed; a suspect is cleared here and at the siblings.
-    pub fn record_completion(&self, daemon: &Daemon, fingerprint: u64, now: Instant) {
-        let cleared = lock(&self.suspects).record_completion(fingerprint, now);
+    /// Returns how a request runs that is handed to the target now.
+    pub fn begin(&self, daemon: &Daemon, fingerprint: u64, deadline: Instant) -> Run {
+        let now = Instant::now();
+        let is_tester = self.is_tester(daemon, fingerprint);
+        let disposition = lock(&self.suspects).begin(fingerprint, is_tester, deadline, now);
+        if disposition == Disposition::Trial {
+            emit!(
+                catalogue::REQUEST_TRIAL,
+                fingerprint = format!("{fingerprint:016x}"),
+            );
+        }
+        Run {
+            fingerprint,
+            disposition,
+        }
+    }
+
+    /// Ends a trial that the target did not run, so that another one may start.
+    pub fn cancel_trial(&self, run: Run) {
+        if run.disposition == Disposition::Trial {
+            lock(&self.suspects).cancel_trial(run.fingerprint);
+        }
+    }
+
+    /// Records a completed run; a suspect that it clears is cleared at the siblings as well.
+    pub fn record_completion(&self, daemon: &Daemon, run: Run, now: Instant) {
+        let cleared = lock(&self.suspects).record_completion(run, now);
+        if cleared.is_some() {
+            emit!(
+                catalogue::REQUEST_COMPLETED,
+                fingerprint = format!("{:016x}", run.fingerprint),
+                disposition = ?run.disposition,
+            );
+        }
         broadcast(daemon, cleared.as_slice());
     }
 
+    /// Whether the local target runs the trials of a request.
+    fn is_tester(&self, daemon: &Daemon, fingerprint: u64) -> bool {
+        if lock(&self.suspects).is_empty() {
+            return false;
+        }
+        let view = daemon.view();
+        let siblings = view.roster.of_service(&daemon.settings.service);
+        let live = siblings.filter(|instance| {
+            instance.state == InstanceState::Live && view.config.domain_is_in(&instance.domain)
+        });
+        let tester = suspect::tester(fingerprint, live.map(|instance| &instance.id));
+        tester == Some(&daemon.settings.id)
+    }
+
     /// Records that the target crashed while these requests were in flight, and informs the siblings.
-    pub fn record_crash(&self, daemon: &Daemon, in_flight: &[u64], now: Instant) {
+    pub fn record_crash(&self, daemon: &Daemon, in_flight: &[Run], now: Instant) {
         let suspicions = lock(&self.suspects).record_crash(in_flight, now);
         for suspicion in &suspicions {
             emit!(
                 catalogue::REQUEST_SUSPECT,
                 fingerprint = format!("{:016x}", suspicion.fingerprint),
                 crashes = suspicion.crashes,
+                isolated = suspicion.isolated,
+                trials = suspicion.trials,
             );
         }
         broadcast(daemon, &suspicions);
@@ -76,16 +126,20 @@
 
     /// Whether the target aborted this request when this daemon last sent it.
     pub fn was_aborted(&self, fingerprint: u64, now: Instant) -> bool {
-        lock(&self.aborted).check(fingerprint, now) != Disposition::Unrestricted
+        lock(&self.aborted).check(fingerprint, false, now) != Disposition::Unrestricted
     }
 
     /// Records the result of an attempt that this daemon sent.
     pub fn record_attempt(&self, fingerprint: u64, reply: &Reply, now: Instant) {
         let mut aborted = lock(&self.aborted);
+        let run = Run {
+            fingerprint,
+            disposition: Disposition::Unrestricted,
+        };
         if reply.is_aborted() {
-            aborted.record_crash(&[fingerprint], now);
+            aborted.record_crash(&[run], now);
         } else if matches!(reply, Reply::Response(_)) {
-            aborted.record_completion(fingerprint, now);
+            aborted.record_completion(run, now);
         }
     }
 }
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -15,16 +15,16 @@
 use tokio::time::Sleep;
 
 use basilbay_admission::gate::Completion;
-use basilbay_keys::suspect::Disposition;
+use basilbay_keys::suspect::{Disposition, Run};
 use basilbay_wire::header;
-use basilbay_wire::problem::{Cause, Problem};
+use basilbay_wire::problem::{Cause, Outcome, Problem};
 
 use crate::access_log;
 use crate::admission::{Permit, Requirements};
 use crate::body::{self, Body};
 use crate::call::{Call, Options};
 use crate::daemon::Daemon;
-use crate::pool::{Connection, Failure, Pool};
+use crate::pool::{Connection, Failure};
 use crate::response::{self, Reply};
 
 /// Time after the deadline for which a caller may still read a response that the target has sent.
@@ -33,7 +33,13 @@
 /// Runs a request on the local target once it is admitted.
 pub async fn run(daemon: &Arc<Daemon>, call: &Call, options: Options, body: Body) -> Reply {
     let reply = match admit(daemon, call, options).await {
-        Ok(permit) => forward(daemon, call, options.allowance, body, permit).await,
+        Ok((permit, run)) => {
+            let reply = forward(daemon, call, options.allowance, body, permit, run).await;
+            if matches!(&reply, Reply::Problem(problem) if problem.outcome == Outcome::NotRun) {
+                daemon.suspects.cancel_trial(run);
+            }
+            reply
+        }
         Err(problem) => Reply::Problem(problem),
     };
     if let Reply::Problem(problem) = &reply {
@@ -42,7 +48,11 @@
     reply
 }
 
-async fn admit(daemon: &Arc<Daemon>, call: &Call, options: Options) -> Result<Permit, Problem> {
+async fn admit(
+    daemon: &Arc<Daemon>,
+    call: &Call,
+    options: Options,
+) -> Result<(Permit, Run), Problem> {
     let service = &daemon.settings.service;
     if call.spec.service != *service {
         let detail = format!(
@@ -51,18 +61,17 @@
         );
         return Err(Problem::not_run(Cause::ServiceOut, detail));
     }
-    let disposition = daemon.suspects.check(call.fingerprint, Instant::now());
+    let suspects = &daemon.suspects;
+    let disposition = suspects.check(daemon, call.fingerprint, Instant::now());
     if disposition == Disposition::Refused {
-        let detail = "targets crashed twice while they ran this request";
-        return Err(Problem::not_run(Cause::Poisoned, detail));
+        return Err(poisoned());
     }
     let requirements = Requirements {
         weight: call.spec.weight,
         deadline: call.deadline,
         goal_at: call.goal_at,
-        suspect: options.suspect || disposition == Disposition::Isolated,
+        suspect: options.suspect || disposition.is_isolated(),
         may_wait: options.may_wait,
-        fingerprint: call.fingerprint,
     };
     check_serving(daemon)?;
     let permit = daemon.admission.acquire(requirements).await?;
@@ -71,7 +80,27 @@
         permit.finish(Completion::Cancelled);
         return Err(problem);
     }
-    Ok(permit)
+    // A crash may have been reported while the request was queued.
+    let mut run = suspects.begin(daemon, call.fingerprint, call.deadline);
+    if run.disposition.is_isolated() && !requirements.suspect {
+        // The request became a suspect while it was queued, so others may run beside it.
+        suspects.cancel_trial(run);
+        run.disposition = match run.disposition {
+            Disposition::Isolated => Disposition::Unrestricted,
+            _ => Disposition::Refused,
+        };
+    }
+    if run.disposition == Disposition::Refused {
+        permit.finish(Completion::Cancelled);
+        return Err(poisoned());
+    }
+    permit.record_run(run);
+    Ok((permit, run))
+}
+
+fn poisoned() -> Problem {
+    let detail = "targets crashed twice while they ran this request";
+    Problem::not_run(Cause::Poisoned, detail)
 }
 
 /// Refuses requests while the configuration and roster of this daemon may be stale.
@@ -89,16 +118,18 @@
     allowance: u8,
     body: Body,
     permit: Permit,
+    run: Run,
 ) -> Reply {
     let trace = call.trace.child(daemon.next_seed());
-    let run = daemon.local_target().run.clone();
-    let request = call.target_request(allowance, run.as_ref(), &daemon.dialect, trace, body);
+    let target = daemon.local_target();
+    let request = call.target_request(allowance, target.run.as_ref(), &daemon.dialect, trace, body);
     let deadline = call.deadline;
     let sent_at = Instant::now();
     let sent = tokio::time::timeout_at(deadline.into(), daemon.pool.send(request));
     let (response, connection) = match sent.await {
         Ok(Ok(received)) => received,
         Ok(Err(Failure::NotSent(error))) => {
+            permit.retract_run();
             daemon.health.check_after_disconnect(daemon).await;
             permit.finish(Completion::Reset);
             let detail = format!("request not sent to the target: {error:#}");
@@ -136,18 +167,9 @@
         permit.finish(Completion::Cancelled);
         return Reply::Problem(problem);
     }
-    let reply = relay_response(daemon, response, connection, permit, deadline).await;
-    match &reply {
-        Reply::Response(_) => {
-            let now = Instant::now();
-            daemon
-                .suspects
-                .record_completion(daemon, call.fingerprint, now);
-        }
-        Reply::Problem(problem) if problem.cause == Cause::TargetFailed => {
-            daemon.health.check_after_disconnect(daemon).await;
-        }
-        Reply::Problem(_) => {}
+    let reply = relay_response(daemon, response, connection, permit, run, deadline).await;
+    if matches!(&reply, Reply::Problem(problem) if problem.cause == Cause::TargetFailed) {
+        daemon.health.check_after_disconnect(daemon).await;
     }
     daemon.publish_load();
     reply
@@ -202,6 +224,7 @@
     response: Response<Incoming>,
     connection: Connection,
     permit: Permit,
+    run: Run,
     deadline: Instant,
 ) -> Reply {
     let is_bufferable = response::is_bufferable(&response);
@@ -220,7 +243,8 @@
         completion,
         incoming,
         held: Some((connection, permit)),
-        pool: daemon.pool.clone(),
+        daemon: daemon.clone(),
+        run,
         limit: (!is_bufferable).then(|| Limit::new(deadline)),
     };
     if !is_bufferable {
@@ -247,7 +271,8 @@
     incoming: Incoming,
     completion: Completion,
     held: Option<(Connection, Permit)>,
-    pool: Arc<Pool>,
+    daemon: Arc<Daemon>,
+    run: Run,
     /// When a streamed body ends at the latest; `None` for one that is collected.
     limit: Option<Limit>,
 }
@@ -281,8 +306,12 @@
 impl Tracked {
     fn finish(&mut self) {
         if let Some((connection, permit)) = self.held.take() {
-            self.pool.release(connection);
+            let daemon = &self.daemon;
+            daemon.pool.release(connection);
             permit.finish(self.completion);
+            daemon
+                .suspects
+                .record_completion(daemon, self.run, Instant::now());
         }
     }
 }
@@ -316,7 +345,12 @@
             }
             Poll::Ready(Some(Err(error))) => {
                 if let Some((_, permit)) = self.held.take() {
-                    permit.finish(Completion::Reset);
+                    let daemon = self.daemon.clone();
+                    // The request counts as running during the check, since it may be the cause.
+                    tokio::spawn(async move {
+                        daemon.health.check_after_disconnect(&daemon).await;
+                        permit.finish(Completion::Reset);
+                    });
                 }
                 Poll::Ready(Some(Err(error.into())))
             }
--- a/crates/basilbay_daemon/tests/poison.rs
+++ b/crates/basilbay_daemon/tests/poison.rs
@@ -1,5 +1,5 @@
 //! A poison request, which crashes its targets, is refused after two crashes; requests that run at
-//! the same time are not.
+//! the same time are not, nor those that run when targets crash for another reason.
 
 #[allow(dead_code)]
 #[path = "common/call.rs"]
@@ -8,7 +8,11 @@
 #[path = "common/fleet.rs"]
 mod fleet;
 
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
 use basilbay_fakes::proxy::fault::Faults;
+use basilbay_fakes::targets::fault::{Change, Crash};
 use basilbay_fakes::targets::response::POISON;
 use basilbay_wire::problem::{Cause, Outcome};
 use futures::future::join_all;
@@ -70,7 +74,7 @@
                 return reply.assert_response(&id, 0);
             }
             assert_ne!(reply.problem().cause, Cause::Poisoned, "{reply:?}");
-            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
         }
         panic!("{id} got no successful response in 4 attempts");
     }));
@@ -123,3 +127,106 @@
         "requests were aborted twice"
     );
 }
+
+/// Crashes targets at the same moment.
+fn crash_targets(fleet: &Fleet, ids: &[&str]) {
+    for id in ids {
+        let crash = Change {
+            crash: Some(Crash::default()),
+            ..Change::default()
+        };
+        assert!(fleet.targets.change(id, &crash), "no target {id}");
+    }
+}
+
+/// Sends the same read at every daemon for `duration`, 5 ms apart, and awaits all replies; returns how many
+/// were refused as poison among those sent in its last second.
+async fn send_reads(fleet: &Fleet, duration: Duration) -> usize {
+    let entries: Vec<SocketAddr> = fleet.daemons.iter().map(|it| it.callers).collect();
+    let end = Instant::now() + duration;
+    let mut replies = Vec::new();
+    for n in 0.. {
+        let sent_at = Instant::now();
+        if sent_at >= end {
+            break;
+        }
+        let entry = entries[n % entries.len()];
+        replies.push(tokio::spawn(async move {
+            let reply = Call::read().reply(entry).await;
+            let is_poisoned = reply.status != 200 && reply.problem().cause == Cause::Poisoned;
+            is_poisoned && sent_at + Duration::from_secs(1) >= end
+        }));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let refused = join_all(replies).await;
+    refused
+        .into_iter()
+        .filter(|refused| *refused.as_ref().expect("a reply"))
+        .count()
+}
+
+/// Guards against refusing all requests of a path because two targets that ran some of them crashed at
+/// the same moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn common_crash() {
+    let plan = Plan {
+        service_time_us: 60_000,
+        ..Plan::new(&[("desk", 4), ("shop", 1)])
+    };
+    let fleet = Fleet::start(plan).await;
+    let crash = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        crash_targets(&fleet, &["desk-1", "desk-2"]);
+    };
+    let (refused, ()) = tokio::join!(send_reads(&fleet, Duration::from_secs(3)), crash);
+    assert_eq!(refused, 0, "refused in the last second");
+}
+
+/// Guards against refusing all requests of a path because all targets crashed one soon after the other,
+/// so that no run was left that could complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_targets_crash() {
+    let plan = Plan {
+        service_time_us: 60_000,
+        ..Plan::new(&[("desk", 3), ("shop", 1)])
+    };
+    let fleet = Fleet::start(plan).await;
+    let crash = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for id in ["desk-1", "desk-2", "desk-3"] {
+            crash_targets(&fleet, &[id]);
+            tokio::time::sleep(Duration::from_millis(15)).await;
+        }
+    };
+    let (refused, ()) = tokio::join!(send_reads(&fleet, Duration::from_secs(9)), crash);
+    assert_eq!(refused, 0, "refused in the last second");
+}
+
+/// Guards against a poison request that is taken for innocent because another target crashed at the
+/// same moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn poison_beside_crash() {
+    let plan = Plan {
+        service_time_us: 20_000,
+        ..Plan::new(&[("desk", 4), ("shop", 1)])
+    };
+    let fleet = Fleet::start(plan).await;
+    let poison = Call::new(http::Method::GET, "/read/poison").header(POISON, "1");
+    let entry = fleet.entry("shop-1");
+    let crash = async {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        crash_targets(&fleet, &["desk-1"]);
+    };
+    tokio::join!(poison.reply(entry), crash);
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        poison.reply(entry).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    // The other crash, two before the request is refused, and one more if the first coincided.
+    assert!(crashes(&fleet) <= 4, "{} crashes", crashes(&fleet));
+    poison
+        .reply(entry)
+        .await
+        .assert_problem(Cause::Poisoned, Outcome::NotRun);
+}
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -133,8 +133,12 @@
         "The daemon closed a caller's connection before all requests on it had their responses."
         "Look for the connection's other requests; `reason` says what ended it.";
     REQUEST_SUSPECT 500 Warning "request-suspect"
-        "The target crashed while it ran this request; after two crashes the request is refused."
+        "The target crashed while it ran this request; after two crashes the request is refused but for trials."
         "Check the target's log for what the request does.";
+    REQUEST_TRIAL 501 Info "request-trial"
+        "A request that is refused runs once, to find out whether it still crashes targets." "Nothing.";
+    REQUEST_COMPLETED 502 Info "request-completed"
+        "A suspect request completed; it is cleared, or its next trial is due." "Nothing.";
     EDITS_MISMATCH 600 Warning "edits-mismatch"
         "Edits from a peer did not produce the announced digest; the full text is pulled."
         "If it recurs, look for daemons of different builds.";
--- a/crates/basilbay_keys/src/suspect.rs
+++ b/crates/basilbay_keys/src/suspect.rs
@@ -1,16 +1,20 @@
 //! Quarantine of requests that were in flight when a target crashed.
 //!
-//! A crash counts once for each request in flight on the target. A request with one crash runs
-//! isolated, with no other suspect on the same target, and is cleared when it completes. A request
-//! with two crashes is refused until [`RETENTION`] has passed; a completion no longer clears it.
+//! Targets also crash for reasons of their own, several at once if they share a failure domain, and a
+//! popular request always runs on some of them. Only a crash of a run that began after an earlier
+//! crash was known is therefore evidence against the request; crashes of other runs are not
+//! independent of each other.
 //!
-//! Several requests may share both of their crashes, because a hedged request runs on two targets
-//! at once and because a crash report may arrive late. None of these is refused; each runs isolated
-//! once more, which separates the cause from the requests that ran concurrently.
+//! - After one crash, a request runs isolated: with no other suspect on the same target.
+//! - After two, it is refused but for trials: single runs, one at a time, on one target of the service.
+//!   The first trial is due at once, or [`FIRST_TRIAL_DELAY`] after a crash of an isolated run. Each
+//!   trial that crashes its target multiplies the delay of the next one by [`TRIAL_DELAY_FACTOR`].
+//! - A completed run clears the request, unless an isolated run or a trial has crashed. Then another
+//!   completion only makes the next trial due, and the completion of a trial clears the request.
 //!
 //! Daemons of one service report to each other how often their own target crashed with a request in
-//! flight. The counts of all targets are added up. A report carries the total of its target, so a
-//! duplicate changes nothing.
+//! flight. The counts of all targets are added up. A report carries the totals of its target, so a
+//! duplicate changes nothing. All daemons choose the target of the trials alike, see [`tester`].
 
 use std::time::{Duration, Instant};
 
@@ -22,6 +26,13 @@
 /// Time for which a suspect is kept after its last crash or the last report of one.
 pub const RETENTION: Duration = Duration::from_secs(600);
 
+/// Time from the first crash of an isolated run to the first trial.
+pub const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(5);
+
+/// Factor by which a trial that crashes its target lengthens the delay of the next one. Three trials
+/// take over two minutes, so a request that crashes its targets costs few of them.
+pub const TRIAL_DELAY_FACTOR: u32 = 5;
+
 /// Maximum number of suspects; beyond it, the oldest are evicted.
 pub const MAX_SUSPECTS: usize = 1024;
 
@@ -35,21 +46,50 @@
     Unrestricted,
     /// With no other suspect on the same target.
     Isolated,
+    /// Isolated, and as the only run of this request in the service.
+    Trial,
     /// Must not run.
     Refused,
 }
 
+impl Disposition {
+    /// Whether no other suspect may run on the same target.
+    pub fn is_isolated(self) -> bool {
+        matches!(self, Self::Isolated | Self::Trial)
+    }
+}
+
+/// A run of a request on the local target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// Disposition with which the run began.
+    pub disposition: Disposition,
+}
+
 /// Target of another daemon of the service, or `None` for the local target.
 type Target = Option<InstanceId>;
 
+/// Crashes of one target with a request in flight.
+#[derive(Clone, Copy, Debug, Default)]
+struct Crashes {
+    total: u32,
+    /// Crashes in which the run was isolated.
+    isolated: u32,
+    /// Crashes in which the run was a trial.
+    trials: u32,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     fingerprint: u64,
-    /// Number of crashes by target, sorted by target.
-    crashes: Vec<(Target, u32)>,
-    /// Whether the request has ever completed. If so, it is not considered the cause of crashes
-    /// that a request which never completed shares with it.
-    has_completed: bool,
+    /// Crashes by target, sorted by target.
+    crashes: Vec<(Target, Crashes)>,
+    /// When the next trial is due.
+    trial_at: Instant,
+    /// When the running trial has ended at the latest; `None` if none runs on the local target.
+    trial_ends_at: Option<Instant>,
     expires_at: Instant,
 }
 
@@ -82,6 +122,18 @@
     ])
 }
 
+/// Returns the instance whose target runs the trials of a request: the one with the highest rendezvous
+/// score; `None` if there are no instances.
+pub fn tester<'a>(
+    fingerprint: u64,
+    instances: impl Iterator<Item = &'a InstanceId>,
+) -> Option<&'a InstanceId> {
+    instances.max_by_key(|id| {
+        let hash = digest::sha256_u64(&[id.as_bytes()]);
+        digest::rendezvous_score(fingerprint, hash)
+    })
+}
+
 impl Suspects {
     /// Creates an empty set.
     pub fn new(service: ServiceId) -> Self {
@@ -91,43 +143,86 @@
         }
     }
 
-    /// Determines how a request may run.
-    pub fn check(&self, fingerprint: u64, now: Instant) -> Disposition {
+    /// Determines how a request may run on the local target; `is_tester` tells whether that target
+    /// runs the trials of the request.
+    pub fn check(&self, fingerprint: u64, is_tester: bool, now: Instant) -> Disposition {
         let Some(entry) = self.entry(fingerprint, now) else {
             return Disposition::Unrestricted;
         };
-        match entry.total_crashes() {
+        match entry.total() {
             0 => Disposition::Unrestricted,
             1 => Disposition::Isolated,
-            _ if self.shares_crashes(entry, now) => Disposition::Isolated,
+            _ if is_tester && entry.is_trial_due(now) => Disposition::Trial,
             _ => Disposition::Refused,
         }
     }
 
-    /// Counts a crash of the local target for each fingerprint in flight, and returns the reports
-    /// for the other daemons of the service.
-    pub fn record_crash(&mut self, in_flight: &[u64], now: Instant) -> Vec<Suspicion> {
+    /// Determines how a request runs that is handed to the local target now. A trial counts as running
+    /// until it completes or crashes, and until `deadline` at most.
+    pub fn begin(
+        &mut self,
+        fingerprint: u64,
+        is_tester: bool,
+        deadline: Instant,
+        now: Instant,
+    ) -> Disposition {
+        let disposition = self.check(fingerprint, is_tester, now);
+        if disposition == Disposition::Trial
+            && let Ok(index) = self.position(fingerprint)
+        {
+            self.entries[index].trial_ends_at = Some(deadline);
+        }
+        disposition
+    }
+
+    /// Ends a trial that was not handed to the target.
+    pub fn cancel_trial(&mut self, fingerprint: u64) {
+        if let Ok(index) = self.position(fingerprint) {
+            self.entries[index].trial_ends_at = None;
+        }
+    }
+
+    /// Counts a crash of the local target for each run in flight, and returns the reports for the other
+    /// daemons of the service.
+    pub fn record_crash(&mut self, in_flight: &[Run], now: Instant) -> Vec<Suspicion> {
         self.evict_expired(now);
-        let mut distinct = in_flight.to_vec();
-        distinct.sort_unstable();
-        distinct.dedup();
-        distinct
-            .into_iter()
-            .map(|fingerprint| {
-                let local_crashes = self.entry_mut(fingerprint, now).crashes_mut(None);
-                *local_crashes += 1;
-                let crashes = *local_crashes;
-                self.suspicion(fingerprint, crashes)
-            })
+        let mut runs = in_flight.to_vec();
+        runs.sort_unstable_by_key(|run| run.fingerprint);
+        let same_request = |left: &Run, right: &Run| left.fingerprint == right.fingerprint;
+        runs.chunk_by(same_request)
+            .map(|runs| self.record_crash_of(runs, now))
             .collect()
     }
 
-    /// Clears a suspect unless it is refused, and returns the report for the other daemons of the
-    /// service; `None` if nothing was cleared.
-    pub fn record_completion(&mut self, fingerprint: u64, now: Instant) -> Option<Suspicion> {
+    fn record_crash_of(&mut self, runs: &[Run], now: Instant) -> Suspicion {
+        let has = |disposition| u32::from(runs.iter().any(|run| run.disposition == disposition));
+        let fingerprint = runs[0].fingerprint;
+        let entry = self.entry_mut(fingerprint, now);
+        let rounds = entry.rounds();
+        let crashes = entry.crashes_mut(None);
+        crashes.total += 1;
+        crashes.isolated += has(Disposition::Isolated);
+        crashes.trials += has(Disposition::Trial);
+        let crashes = *crashes;
+        if crashes.trials > 0 {
+            entry.trial_ends_at = None;
+        }
+        entry.schedule_trial(rounds, now);
+        Suspicion {
+            crashes: crashes.total,
+            isolated: crashes.isolated,
+            trials: crashes.trials,
+            ..self.clearance(fingerprint, false)
+        }
+    }
+
+    /// Records a completed run, and returns the report for the other daemons of the service; `None` if
+    /// the request was not suspect.
+    pub fn record_completion(&mut self, run: Run, now: Instant) -> Option<Suspicion> {
         self.evict_expired(now);
-        let cleared = self.clear(fingerprint, now);
-        cleared.then(|| self.suspicion(fingerprint, 0))
+        let is_trial = run.disposition == Disposition::Trial;
+        self.clear(run.fingerprint, is_trial, now)
+            .then(|| self.clearance(run.fingerprint, is_trial))
     }
 
     /// Applies a report of the daemon `origin` about its target; 0 crashes mean that the request
@@ -138,12 +233,16 @@
         }
         self.evict_expired(now);
         if report.crashes == 0 {
-            self.clear(report.fingerprint, now);
+            self.clear(report.fingerprint, report.is_trial, now);
             return;
         }
         let entry = self.entry_mut(report.fingerprint, now);
+        let rounds = entry.rounds();
         let crashes = entry.crashes_mut(Some(origin.clone()));
-        *crashes = report.crashes.max(*crashes);
+        crashes.total = report.crashes.max(crashes.total);
+        crashes.isolated = report.isolated.max(crashes.isolated);
+        crashes.trials = report.trials.max(crashes.trials);
+        entry.schedule_trial(rounds, now);
     }
 
     /// Number of suspects.
@@ -156,35 +255,29 @@
         self.entries.is_empty()
     }
 
-    fn clear(&mut self, fingerprint: u64, now: Instant) -> bool {
-        let is_refused = self.check(fingerprint, now) == Disposition::Refused;
+    /// Applies a completed run; returns whether it changed anything.
+    fn clear(&mut self, fingerprint: u64, is_trial: bool, now: Instant) -> bool {
         let Ok(index) = self.position(fingerprint) else {
             return false;
         };
         let entry = &mut self.entries[index];
-        if is_refused || entry.crashes.is_empty() {
-            return false;
+        if is_trial || entry.rounds() == 0 {
+            self.entries.remove(index);
+            return true;
         }
-        entry.crashes.clear();
-        entry.has_completed = true;
-        true
-    }
-
-    /// Whether another request, which has never completed, shares all crashes of this one.
-    fn shares_crashes(&self, entry: &Entry, now: Instant) -> bool {
-        self.entries.iter().any(|other| {
-            other.fingerprint != entry.fingerprint
-                && now < other.expires_at
-                && !other.has_completed
-                && other.crashes == entry.crashes
-        })
+        let is_early = now < entry.trial_at;
+        entry.trial_at = entry.trial_at.min(now);
+        is_early
     }
 
-    fn suspicion(&self, fingerprint: u64, crashes: u32) -> Suspicion {
+    fn clearance(&self, fingerprint: u64, is_trial: bool) -> Suspicion {
         Suspicion {
             service: self.service.clone(),
             fingerprint,
-            crashes,
+            crashes: 0,
+            isolated: 0,
+            trials: 0,
+            is_trial,
         }
     }
 
@@ -233,23 +326,50 @@
         Self {
             fingerprint,
             crashes: Vec::new(),
-            has_completed: false,
+            trial_at: now,
+            trial_ends_at: None,
             expires_at: now + RETENTION,
         }
     }
 
     /// Number of crashes over all targets.
-    fn total_crashes(&self) -> u32 {
-        self.crashes.iter().map(|(_, count)| *count).sum()
+    fn total(&self) -> u32 {
+        self.sum(|crashes| crashes.total)
+    }
+
+    /// Number of crashes that are evidence against the request. The isolated runs that crash count
+    /// once together: a trial is the first run that begins after one of them was known.
+    fn rounds(&self) -> u32 {
+        let isolated = self.sum(|crashes| crashes.isolated);
+        isolated.min(1) + self.sum(|crashes| crashes.trials)
+    }
+
+    fn sum(&self, count: impl Fn(&Crashes) -> u32) -> u32 {
+        let counts = self.crashes.iter().map(|(_, crashes)| count(crashes));
+        counts.fold(0, u32::saturating_add)
+    }
+
+    /// Defers the next trial if there were only `rounds` until now.
+    fn schedule_trial(&mut self, rounds: u32, now: Instant) {
+        let failed = self.rounds();
+        if failed > rounds {
+            let factor = TRIAL_DELAY_FACTOR.saturating_pow(failed - 1);
+            let delay = FIRST_TRIAL_DELAY.saturating_mul(factor).min(RETENTION);
+            self.trial_at = now + delay;
+        }
+    }
+
+    fn is_trial_due(&self, now: Instant) -> bool {
+        now >= self.trial_at && self.trial_ends_at.is_none_or(|ends_at| now >= ends_at)
     }
 
-    /// Number of crashes of one target, inserted as 0 if missing.
-    fn crashes_mut(&mut self, target: Target) -> &mut u32 {
+    /// Crashes of one target, inserted as 0 if missing.
+    fn crashes_mut(&mut self, target: Target) -> &mut Crashes {
         let found = self
             .crashes
             .binary_search_by(|(known, _)| known.cmp(&target));
         let index = found.unwrap_or_else(|index| {
-            self.crashes.insert(index, (target, 0));
+            self.crashes.insert(index, (target, Crashes::default()));
             index
         });
         &mut self.crashes[index].1
--- a/crates/basilbay_wire/src/datagram.rs
+++ b/crates/basilbay_wire/src/datagram.rs
@@ -32,8 +32,17 @@
     pub service: ServiceId,
     /// Fingerprint of the request.
     pub fingerprint: u64,
-    /// Crashes of the sender's target with this request in flight; 0 clears the suspicion.
+    /// Crashes of the sender's target with this request in flight; 0 if the request completed there.
     pub crashes: u32,
+    /// Those crashes in which the request ran isolated, since an earlier crash was known.
+    #[serde(default)]
+    pub isolated: u32,
+    /// Those crashes in which the request ran as a trial.
+    #[serde(default)]
+    pub trials: u32,
+    /// Whether the completed run was a trial.
+    #[serde(default)]
+    pub is_trial: bool,
 }
 
 /// Payload of a datagram.
