Charge every attempt after one that reached a target to the retry budget

Cause: only a target's own 503 was charged. Status 421 had the cause of a daemon that leaves, whose refusals are free, and the daemon beside the worker went on to admit requests, so the target looked idle. A hedge could go to a target that had refused the request.

Now Attempts::should_retry is the only place through which another attempt passes, and it charges each one after an attempt that reached a target (Problem::has_reached_target). Status 421 has the cause `misdirected`; from a 421 or a probe of another run on, the gate is closed until the list names another run or the expected one responds. A hedge avoids the same targets as its call.

Tests changed: /read/moved is now expected as `misdirected` instead of `leaving`; busy_retries_bounded covers it too and is called refused_retries_bounded.

--- a/crates/basilbay_admission/src/gate/closed.rs
+++ b/crates/basilbay_admission/src/gate/closed.rs
@@ -16,18 +16,21 @@
     Unconfirmed,
     /// The target does not respond.
     Down,
+    /// Another run than the listed one responds at the target's address.
+    Misdirected,
 }
 
 impl Closed {
     /// All reasons in the order of precedence for reporting: leaving comes first because it is
     /// final, and unconfirmed precedes out because an unconfirmed view may be wrong about the
     /// service being out.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Leaving,
         Self::TargetLeaving,
         Self::Unconfirmed,
         Self::Out,
         Self::Down,
+        Self::Misdirected,
     ];
 
     /// Cause of the refusals.
@@ -36,7 +39,7 @@
             Self::Out => Cause::ServiceOut,
             Self::Leaving | Self::TargetLeaving => Cause::Leaving,
             Self::Unconfirmed => Cause::Unconfirmed,
-            Self::Down => Cause::NoCapacity,
+            Self::Down | Self::Misdirected => Cause::NoCapacity,
         }
     }
 
@@ -46,7 +49,7 @@
             Self::Out => State::Out,
             Self::Leaving | Self::TargetLeaving => State::Leaving,
             Self::Unconfirmed => State::Unconfirmed,
-            Self::Down => State::Down,
+            Self::Down | Self::Misdirected => State::Down,
         }
     }
 
--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -182,11 +182,13 @@
         self.lock().gate.set_sibling_latency(latency);
     }
 
-    /// Sets or clears a reason to refuse new requests.
-    pub fn set_closed(&self, reason: Closed, active: bool) {
+    /// Sets or clears a reason to refuse new requests; returns whether it was set before.
+    pub fn set_closed(&self, reason: Closed, active: bool) -> bool {
         let mut inner = self.lock();
+        let was_active = inner.gate.is_closed(reason);
         inner.gate.set_closed(reason, active, Instant::now());
         self.apply_actions(&mut inner);
+        was_active
     }
 
     /// Records how much longer the cold start lasts according to the target.
--- a/crates/basilbay_daemon/src/attempt.rs
+++ b/crates/basilbay_daemon/src/attempt.rs
@@ -10,7 +10,7 @@
 use basilbay_events::metrics;
 use basilbay_model::id::InstanceId;
 use basilbay_routing::cluster::CallId;
-use basilbay_routing::retry::Attempts;
+use basilbay_routing::retry::{Attempts, Failure};
 use basilbay_routing::router::{self, Exclusions, Pick};
 use basilbay_wire::hop::Role;
 use basilbay_wire::problem::{Cause, Outcome, Problem};
@@ -37,10 +37,10 @@
         matches!(&self.reply, Reply::Response(response) if !entry::is_unavailable(response))
     }
 
-    fn outcome(&self) -> Outcome {
+    fn failure(&self) -> Failure {
         match &self.reply {
-            Reply::Response(_) => Outcome::Unknown,
-            Reply::Problem(problem) => problem.outcome,
+            Reply::Response(_) => Failure::UNKNOWN,
+            Reply::Problem(problem) => Failure::from(problem),
         }
     }
 }
@@ -59,7 +59,8 @@
 }
 
 impl<'a> Dispatcher<'a> {
-    /// Sends the request to the picked target, and hedges it if the first target is late.
+    /// Sends the request to the picked target, and hedges it if the first target is late; neither is
+    /// sent to the excluded targets.
     ///
     /// A noisy neighbour can delay a request by tens of milliseconds after it has started, which target
     /// selection cannot foresee. The first response is taken and the other request cancelled.
@@ -68,6 +69,7 @@
         pick: Pick,
         body: Body,
         attempts: &mut Attempts,
+        exclusions: &Exclusions,
         payload: &mut Payload,
     ) -> Completion {
         let may_hedge = attempts.idempotent && payload.is_complete();
@@ -83,7 +85,7 @@
         if let Ok(completion) = tokio::time::timeout(delay, &mut first).await {
             return completion;
         }
-        let Some((pick, body)) = self.hedge(&first_id, attempts, payload) else {
+        let Some((pick, body)) = self.hedge(&first_id, attempts, exclusions, payload) else {
             return first.await;
         };
         // A request that crashes targets may run beside this one and be hedged as well. The hedge is
@@ -106,7 +108,7 @@
             }
         };
         if !last_done.is_response() {
-            attempts.record(first_done.outcome());
+            attempts.record(first_done.failure());
             if first_done.reply.is_aborted() {
                 attempts.record_aborted();
             }
@@ -120,6 +122,7 @@
         &self,
         first_id: &InstanceId,
         attempts: &mut Attempts,
+        exclusions: &Exclusions,
         payload: &mut Payload,
     ) -> Option<(Pick, Body)> {
         let now = Instant::now();
@@ -130,10 +133,8 @@
         if !attempts.try_hedge(&mut router.budget, now) {
             return None;
         }
-        let exclusions = Exclusions {
-            failed: vec![first_id.clone()],
-            ..Exclusions::default()
-        };
+        let mut exclusions = exclusions.clone();
+        exclusions.failed.push(first_id.clone());
         let pick = router.pick(self.call_id, &exclusions, now)?;
         self.daemon.metrics.count(metrics::ATTEMPTS_HEDGED, 1);
         let pick = Pick {
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -16,7 +16,7 @@
 use basilbay_keys::suspect;
 use basilbay_model::id::InstanceId;
 use basilbay_routing::cluster::CallId;
-use basilbay_routing::retry::{Attempts, Budget};
+use basilbay_routing::retry::{Attempts, Budget, Failure};
 use basilbay_routing::router::{Completion, Exclusions};
 use basilbay_wire::header;
 use basilbay_wire::problem::{Cause, Outcome, Problem};
@@ -199,8 +199,9 @@
             call_id: progress.call_id,
         };
         let payload = &mut progress.payload;
+        let exclusions = &progress.exclusions;
         let completion = dispatcher
-            .run(pick, body, &mut progress.attempts, payload)
+            .run(pick, body, &mut progress.attempts, exclusions, payload)
             .await;
         trail.record(&completion.id, &completion.reply);
         if !progress.record(completion.reply, completion.id, &mut shard.router().budget) {
@@ -227,17 +228,15 @@
 impl Progress {
     /// Records the result of an attempt; returns whether to send another one.
     fn record(&mut self, reply: Reply, id: InstanceId, budget: &mut Budget) -> bool {
-        let outcome = match &reply {
-            Reply::Response(response) if is_unavailable(response) => Some(Outcome::Unknown),
+        let failure = match &reply {
+            Reply::Response(response) if is_unavailable(response) => Some(Failure::UNKNOWN),
             Reply::Response(_) => None,
-            Reply::Problem(problem) if is_target_specific(problem) => Some(problem.outcome),
+            Reply::Problem(problem) if is_target_specific(problem) => Some(Failure::from(problem)),
             Reply::Problem(_) => None,
         };
         if reply.is_aborted() {
             self.attempts.record_aborted();
         }
-        let is_target_refusal =
-            matches!(&reply, Reply::Problem(problem) if problem.cause == Cause::TargetBusy);
         let is_temporary = |cause| matches!(cause, Cause::NoCapacity | Cause::TargetSlowed);
         if matches!(&reply, Reply::Problem(problem) if is_temporary(problem.cause)) {
             self.exclusions.full.push(id);
@@ -248,15 +247,10 @@
             Reply::Response(response) => self.unavailable = Some(response),
             Reply::Problem(problem) => self.last_problem = Some(problem),
         }
-        let Some(outcome) = outcome else {
+        let Some(failure) = failure else {
             return false;
         };
-        // A request that the target itself refused used some of its capacity, so the retry is charged
-        // to the budget.
-        let is_within_budget = !is_target_refusal || budget.withdraw(Instant::now());
-        is_within_budget
-            && self.payload.is_replayable()
-            && self.attempts.should_retry(outcome, budget, Instant::now())
+        self.payload.is_replayable() && self.attempts.should_retry(failure, budget, Instant::now())
     }
 
     /// Returns the final result: a response of a target if there is one, else the latest problem.
--- a/crates/basilbay_daemon/src/health.rs
+++ b/crates/basilbay_daemon/src/health.rs
@@ -276,13 +276,13 @@
     let (status, headers, _) = get(daemon, path).await?;
     let dialect = &daemon.dialect;
     let target = daemon.local_target();
-    let responding = headers.get(&dialect.responding_run);
-    if let (Some(run), Some(responding)) = (&target.run, responding) {
-        anyhow::ensure!(
-            responding.as_bytes() == run.as_bytes(),
-            "probe of run {run} received a response from run {responding:?}"
-        );
-    }
+    let is_expected = target.has_sent(&headers, dialect).unwrap_or(true);
+    daemon.observe_run(&target, is_expected);
+    anyhow::ensure!(
+        is_expected,
+        "probe of run {:?} received a response from another run",
+        target.run
+    );
     if status.is_success() {
         let cold_ms = headers
             .get(&dialect.cold_ms)
--- a/crates/basilbay_daemon/src/local.rs
+++ b/crates/basilbay_daemon/src/local.rs
@@ -15,6 +15,7 @@
 use basilbay_model::domain::State as DomainState;
 use basilbay_model::id::RunId;
 use basilbay_model::roster::{Instance, State as InstanceState, Timestamp};
+use basilbay_wire::dialect::Dialect;
 
 use crate::daemon::{Daemon, View};
 
@@ -27,6 +28,16 @@
     pub started_at_ms: Option<Timestamp>,
 }
 
+impl Target {
+    /// Whether the run that sent a response is the listed one, by the header that names it; `None` if
+    /// either is unknown.
+    pub(crate) fn has_sent(&self, headers: &HeaderMap, dialect: &Dialect) -> Option<bool> {
+        let responding = headers.get(&dialect.responding_run)?;
+        let run = self.run.as_ref()?;
+        Some(responding.as_bytes() == run.as_bytes())
+    }
+}
+
 impl Daemon {
     /// Applies a view to the local target: its contract, and whether it accepts requests.
     pub(crate) fn apply_to_target(&self, view: &View) {
@@ -80,6 +91,25 @@
             self.admission.target_replaced();
         }
         self.local.store(Arc::new(target));
+        self.admission.set_closed(Closed::Misdirected, false);
+    }
+
+    /// Records whether a response to a request or probe came from the run that the roster named when it
+    /// was sent. Any other run refuses all requests, so none are admitted until the roster names another
+    /// run or the expected one responds again.
+    pub(crate) fn observe_run(&self, expected: &Target, is_expected: bool) {
+        // The roster may have changed while the response was awaited.
+        if *self.local.load_full() != *expected {
+            return;
+        }
+        let was_closed = self.admission.set_closed(Closed::Misdirected, !is_expected);
+        if was_closed == is_expected {
+            if !is_expected {
+                emit!(catalogue::TARGET_MISDIRECTED, run = ?expected.run);
+            }
+            self.update_local_load();
+            self.publish_load();
+        }
     }
 
     /// Records what the local target states in the head of a response to a request or probe sent at
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -155,7 +155,10 @@
         return Reply::Problem(problem);
     }
     // Status 421 comes from another run, whose statements do not concern this one.
-    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        let sent_by_target = target.has_sent(response.headers(), &daemon.dialect);
+        daemon.observe_run(&target, sent_by_target.unwrap_or(target.run.is_none()));
+    } else {
         daemon.observe_notice(response.headers(), sent_at);
     }
     if let Some(problem) = refusal(daemon, &response) {
@@ -181,7 +184,7 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         let found = response.headers().get(&daemon.dialect.responding_run);
         let detail = format!("the target's address now belongs to another run: {found:?}");
-        return Some(Problem::not_run(Cause::Leaving, detail));
+        return Some(Problem::not_run(Cause::Misdirected, detail));
     }
     if !response.headers().contains_key(&daemon.dialect.not_run) {
         return None;
--- a/crates/basilbay_daemon/tests/target_headers.rs
+++ b/crates/basilbay_daemon/tests/target_headers.rs
@@ -97,7 +97,7 @@
     let (fleet, _) = start_fleet().await;
     for (path, cause) in [
         ("/read/busy", Cause::TargetBusy),
-        ("/read/moved", Cause::Leaving),
+        ("/read/moved", Cause::Misdirected),
     ] {
         let reply = read(path).reply(fleet.entry("shop-1")).await;
         reply.assert_problem(cause, Outcome::NotRun);
@@ -113,17 +113,19 @@
     assert_eq!(reply.body, "shop".as_bytes());
 }
 
-/// Guards against unbounded retries to a target that refuses requests as busy.
+/// Guards against unbounded retries to targets that refuse requests as busy or as misdirected.
 #[tokio::test(flavor = "multi_thread")]
-async fn busy_retries_bounded() {
+async fn refused_retries_bounded() {
     let (fleet, count) = start_fleet().await;
-    let before = count.load(Ordering::SeqCst);
-    for _ in 0..20 {
-        read("/read/busy").reply(fleet.entry("shop-1")).await;
+    for path in ["/read/busy", "/read/moved"] {
+        let before = count.load(Ordering::SeqCst);
+        for _ in 0..20 {
+            read(path).reply(fleet.entry("shop-1")).await;
+        }
+        let arrivals = count.load(Ordering::SeqCst) - before;
+        // 20 first attempts, the retry budget of 100 percent, and its minimum of 3 retries per second.
+        assert!(arrivals <= 20 * 2 + 20, "{path}: {arrivals}");
     }
-    let arrivals = count.load(Ordering::SeqCst) - before;
-    // 20 first attempts, the retry budget of 100 percent, and its minimum of 3 retries per second.
-    assert!(arrivals <= 20 * 2 + 20, "{arrivals}");
 }
 
 /// Guards against "not run" for a request that the target runs: a late copy of the refusal of an
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -112,6 +112,9 @@
     TARGET_RATE_MALFORMED 307 Warning "target-rate-malformed"
         "The target states a rate limit that is not a number of requests per second; the previous one stays in force."
         "Correct the target's header.";
+    TARGET_MISDIRECTED 308 Warning "target-misdirected"
+        "Another run than the listed one responds at the target's address; no requests are admitted until the instance list names another run."
+        "If it persists, look for a target that is not registered.";
     REQUEST_ANSWERED 400 Info "request-answered"
         "A target responded to a caller's request; `tries` lists target, result and time of each attempt."
         "Nothing.";
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -1,15 +1,16 @@
 //! Retry policy: decides from the outcome of an attempt whether it is retried.
 //!
-//! Two cases are counted separately. A refusal costs the target nothing and starts no further
-//! calls, so it is bounded per hop. A second run of an idempotent request costs a slot and may
-//! start a whole call chain again, so it draws on the retry budget of the service and on the
-//! allowance that travels with the call. Each level keeps one unit of the allowance and passes on
-//! the rest, and a retried attempt passes on none: with allowance A, a chain of any depth runs its
-//! last call at most A + 1 times.
+//! A refusal by the daemon beside the target costs the target nothing, so it is bounded per hop. A
+//! request that has reached a target, which may have refused it, draws on the retry budget of the
+//! service before it is sent once more, so that the budget bounds what the targets receive. A second
+//! run of an idempotent request may also start a whole call chain again, so it draws on the allowance
+//! that travels with the call. Each level keeps one unit of the allowance and passes on the rest, and
+//! a retried attempt passes on none: with allowance A, a chain of any depth runs its last call at most
+//! A + 1 times.
 
 use std::time::{Duration, Instant};
 
-use basilbay_wire::problem::Outcome;
+use basilbay_wire::problem::{Outcome, Problem};
 
 /// Refusals after which a call gives up; by then, full targets and full queues have refused it.
 pub const MAX_REFUSALS: u8 = 8;
@@ -143,6 +144,48 @@
     may_have_run: bool,
     /// Number of attempts that a target aborted.
     aborted_attempts: u8,
+    /// Whether an attempt has reached a target.
+    has_reached_target: bool,
+    /// Whether a retry was taken from the budget for an attempt that has reached no target yet.
+    is_charged: bool,
+}
+
+/// Result of an attempt, as far as it matters for retries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Whether the request may have run.
+    pub outcome: Outcome,
+    /// Whether the request may have reached the target's process.
+    pub has_reached_target: bool,
+}
+
+impl Failure {
+    /// An attempt that may have run.
+    pub const UNKNOWN: Self = Self {
+        outcome: Outcome::Unknown,
+        has_reached_target: true,
+    };
+
+    /// An attempt that the daemon beside the target refused.
+    pub const REFUSED: Self = Self {
+        outcome: Outcome::NotRun,
+        has_reached_target: false,
+    };
+
+    /// An attempt that the target refused.
+    pub const REFUSED_BY_TARGET: Self = Self {
+        outcome: Outcome::NotRun,
+        has_reached_target: true,
+    };
+}
+
+impl From<&Problem> for Failure {
+    fn from(problem: &Problem) -> Self {
+        Self {
+            outcome: problem.outcome,
+            has_reached_target: problem.has_reached_target(),
+        }
+    }
 }
 
 impl Attempts {
@@ -155,12 +198,23 @@
             refusals: 0,
             may_have_run: false,
             aborted_attempts: 0,
+            has_reached_target: false,
+            is_charged: false,
+        }
+    }
+
+    /// Records an attempt that is not retried on its own.
+    pub fn record(&mut self, failure: Failure) {
+        self.may_have_run |= failure.outcome == Outcome::Unknown;
+        if failure.has_reached_target {
+            self.has_reached_target = true;
+            self.is_charged = false;
         }
     }
 
-    /// Records the outcome of an attempt that is not retried on its own.
-    pub fn record(&mut self, outcome: Outcome) {
-        self.may_have_run |= outcome == Outcome::Unknown;
+    /// Whether the next attempt may be a repeat for its target: an earlier one has reached a target.
+    pub fn is_repeat(&self) -> bool {
+        self.has_reached_target
     }
 
     /// Records an attempt that a target aborted, possibly because of the request.
@@ -187,6 +241,16 @@
         allowed && budget.withdraw(now) && self.allowance.try_consume()
     }
 
+    /// Takes a retry from the budget unless the next attempt is the first one that may reach a target,
+    /// or a retry was taken for it before.
+    fn try_charge(&mut self, budget: &mut Budget, now: Instant) -> bool {
+        if self.has_reached_target && !self.is_charged {
+            self.is_charged = budget.withdraw(now);
+            return self.is_charged;
+        }
+        true
+    }
+
     /// Outcome to report to the caller after the last attempt ended with `last`: "not run" only if
     /// no attempt may have run.
     pub fn reported_outcome(&self, last: Outcome) -> Outcome {
@@ -197,22 +261,23 @@
         }
     }
 
-    /// Records the outcome of an attempt and decides whether to retry; `true` for an attempt that
-    /// may have run consumes the allowance and a retry of the budget.
-    pub fn should_retry(&mut self, outcome: Outcome, budget: &mut Budget, now: Instant) -> bool {
-        self.record(outcome);
+    /// Records a failed attempt and decides whether to retry; `true` consumes a retry of the budget
+    /// after an attempt that has reached its target, and the allowance after one that may have run.
+    pub fn should_retry(&mut self, failure: Failure, budget: &mut Budget, now: Instant) -> bool {
+        self.record(failure);
         if now >= self.deadline || self.aborted_attempts >= MAX_ABORTED_ATTEMPTS {
             return false;
         }
-        match outcome {
+        match failure.outcome {
             Outcome::NotRun => {
                 self.refusals += 1;
-                self.refusals < MAX_REFUSALS
+                self.refusals < MAX_REFUSALS && self.try_charge(budget, now)
             }
             Outcome::Unknown => {
-                self.idempotent && self.allowance.local > 0 && budget.withdraw(now) && {
-                    self.allowance.try_consume()
-                }
+                self.idempotent
+                    && self.allowance.local > 0
+                    && self.try_charge(budget, now)
+                    && self.allowance.try_consume()
             }
         }
     }
--- a/crates/basilbay_routing/tests/retry.rs
+++ b/crates/basilbay_routing/tests/retry.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use basilbay_routing::retry::{Attempts, Budget, MAX_REFUSALS};
+use basilbay_routing::retry::{Attempts, Budget, Failure, MAX_REFUSALS};
 use basilbay_wire::problem::Outcome;
 use proptest::prelude::*;
 
@@ -20,7 +20,7 @@
     loop {
         let downstream = attempts.allowance.downstream();
         runs += runs_of_last_call(depth - 1, downstream, idempotent, now);
-        if !attempts.should_retry(Outcome::Unknown, &mut budget, now) {
+        if !attempts.should_retry(Failure::UNKNOWN, &mut budget, now) {
             return runs;
         }
     }
@@ -56,7 +56,7 @@
     let mut budget = Budget::new(0, now);
     let mut attempts = Attempts::new(false, now + Duration::from_secs(1), 0);
     let mut count = 1;
-    while attempts.should_retry(Outcome::NotRun, &mut budget, now) {
+    while attempts.should_retry(Failure::REFUSED, &mut budget, now) {
         count += 1;
     }
     assert_eq!(count, MAX_REFUSALS);
@@ -69,9 +69,9 @@
     let mut budget = Budget::new(100, now);
     let mut attempts = Attempts::new(true, now + Duration::from_secs(1), 6);
     attempts.record_aborted();
-    assert!(attempts.should_retry(Outcome::Unknown, &mut budget, now));
+    assert!(attempts.should_retry(Failure::UNKNOWN, &mut budget, now));
     attempts.record_aborted();
-    assert!(!attempts.should_retry(Outcome::Unknown, &mut budget, now));
+    assert!(!attempts.should_retry(Failure::UNKNOWN, &mut budget, now));
 }
 
 proptest! {
@@ -129,6 +129,46 @@
         prop_assert!(f64::from(retries) <= bound, "{retries} > {bound}");
     }
 
+    /// Guards against arrivals at targets that the retry budget does not count: whichever way the
+    /// attempts of a call end, each arrival after the first takes a retry from the budget.
+    #[test]
+    fn arrivals_are_charged(
+        ends in prop::collection::vec((0..4_u8, any::<bool>()), 1..12),
+        allowance in 0_u8..4,
+        idempotent: bool,
+    ) {
+        let now = Instant::now();
+        let mut budget = Budget::new(100, now);
+        budget.set_slack(200, Duration::from_secs(10), 1);
+        for _ in 0..100 {
+            budget.deposit();
+        }
+        let available = |budget: &Budget| {
+            let mut budget = budget.clone();
+            (0..).take_while(|_| budget.withdraw(now)).count()
+        };
+        let before = available(&budget);
+        let mut attempts = Attempts::new(idempotent, now + Duration::from_secs(1), allowance);
+        let mut arrivals = 0;
+        for (end, is_hedged) in ends {
+            if is_hedged && attempts.try_hedge(&mut budget, now) {
+                attempts.record(Failure::REFUSED_BY_TARGET);
+                arrivals += 1;
+            }
+            let failure = match end {
+                0 => Failure::UNKNOWN,
+                1 => Failure::REFUSED_BY_TARGET,
+                _ => Failure::REFUSED,
+            };
+            arrivals += usize::from(failure.has_reached_target);
+            if !attempts.should_retry(failure, &mut budget, now) {
+                break;
+            }
+        }
+        let charged = before - available(&budget);
+        prop_assert!(arrivals <= charged + 1, "{arrivals} arrivals, {charged} charged");
+    }
+
     /// Guards against "not run" for a request that an earlier attempt may have run: the target
     /// responded with 504 at the deadline, a second target refused, and the caller was told "not
     /// run".
@@ -140,9 +180,9 @@
         let mut ran = false;
         for may_have_run in outcomes {
             ran |= may_have_run;
-            let last = if may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+            let last = if may_have_run { Failure::UNKNOWN } else { Failure::REFUSED };
             let is_retried = attempts.should_retry(last, &mut budget, now);
-            let reported = attempts.reported_outcome(last);
+            let reported = attempts.reported_outcome(last.outcome);
             prop_assert_eq!(reported == Outcome::NotRun, !ran);
             if !is_retried {
                 break;
@@ -157,7 +197,7 @@
         let mut budget = Budget::new(100, start);
         let mut attempts = Attempts::new(idempotent, start, 3);
         let now = start + Duration::from_millis(after_ms);
-        prop_assert!(!attempts.should_retry(Outcome::NotRun, &mut budget, now));
-        prop_assert!(!attempts.should_retry(Outcome::Unknown, &mut budget, now));
+        prop_assert!(!attempts.should_retry(Failure::REFUSED, &mut budget, now));
+        prop_assert!(!attempts.should_retry(Failure::UNKNOWN, &mut budget, now));
     }
 }
--- a/crates/basilbay_wire/src/problem.rs
+++ b/crates/basilbay_wire/src/problem.rs
@@ -62,6 +62,8 @@
     NoCapacity,
     /// The target itself refused the request.
     TargetBusy,
+    /// Another run of the target, or another target, responded at the target's address.
+    Misdirected,
     /// Other workloads on the target's machine currently slow it down.
     TargetSlowed,
     /// The service or all its failure domains are out.
@@ -84,7 +86,7 @@
 
 impl Cause {
     /// Every cause, for lookups and for the test of the reference page.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::BadRequest,
         Self::UnknownService,
         Self::HeadersTooLarge,
@@ -94,6 +96,7 @@
         Self::KeyReused,
         Self::NoCapacity,
         Self::TargetBusy,
+        Self::Misdirected,
         Self::TargetSlowed,
         Self::ServiceOut,
         Self::Leaving,
@@ -117,6 +120,7 @@
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::NoCapacity
             | Self::TargetBusy
+            | Self::Misdirected
             | Self::TargetSlowed
             | Self::ServiceOut
             | Self::Leaving
@@ -139,6 +143,7 @@
             Self::KeyReused => "key-reused",
             Self::NoCapacity => "no-capacity",
             Self::TargetBusy => "target-busy",
+            Self::Misdirected => "misdirected",
             Self::TargetSlowed => "target-slowed",
             Self::ServiceOut => "service-out",
             Self::Leaving => "leaving",
@@ -168,6 +173,7 @@
             Self::KeyReused => "The idempotency key was used for another request",
             Self::NoCapacity => "No target has room",
             Self::TargetBusy => "The target took no more work",
+            Self::Misdirected => "Another run of the target responded",
             Self::TargetSlowed => "The target is slowed by others on its machine",
             Self::ServiceOut => "The service takes no work",
             Self::Leaving => "The target is leaving",
@@ -187,6 +193,7 @@
             self,
             Self::NoCapacity
                 | Self::TargetBusy
+                | Self::Misdirected
                 | Self::TargetSlowed
                 | Self::ServiceOut
                 | Self::Leaving
@@ -227,6 +234,12 @@
         }
     }
 
+    /// Whether the request may have reached the target's process, which may have refused it.
+    pub fn has_reached_target(&self) -> bool {
+        let is_refusal_of_target = matches!(self.cause, Cause::TargetBusy | Cause::Misdirected);
+        self.outcome == Outcome::Unknown || is_refusal_of_target
+    }
+
     /// Changes the outcome to unknown.
     pub fn into_unknown(self) -> Self {
         Self {
