Charge the calls of repeated runs to the budget of the service they call

A daemon cannot tell which run of its target makes a call. It knows which of the runs are repeats, and charges each call that it receives with their share.

--- a/crates/basilbay_daemon/src/admission.rs
+++ b/crates/basilbay_daemon/src/admission.rs
@@ -53,12 +53,21 @@
     sender: oneshot::Sender<std::result::Result<(), Cause>>,
 }
 
+/// A request that was handed to the target.
+struct Running {
+    id: RequestId,
+    /// May be the cause if the target crashes.
+    run: Run,
+    /// Whether an earlier attempt of the request may have reached a target.
+    is_repeat: bool,
+}
+
 struct Inner {
     gate: Gate,
     /// Sorted by id, because ids only increase.
     waiters: Vec<Waiter>,
-    /// Requests that were handed to the target, which may be the cause if it crashes.
-    running: Vec<(RequestId, Run)>,
+    /// Requests that were handed to the target.
+    running: Vec<Running>,
     next_id: RequestId,
     started: u64,
     completed: u64,
@@ -252,7 +261,14 @@
     /// Returns the requests that run on the target.
     pub fn running(&self) -> Vec<Run> {
         let inner = self.lock();
-        inner.running.iter().map(|(_, run)| *run).collect()
+        inner.running.iter().map(|running| running.run).collect()
+    }
+
+    /// Returns the fraction of the requests that run on the target which are repeats.
+    pub fn repeat_share(&self) -> f64 {
+        let inner = self.lock();
+        let repeats = inner.running.iter().filter(|running| running.is_repeat);
+        repeats.count() as f64 / inner.running.len().max(1) as f64
     }
 
     /// Whether no request runs or is queued.
@@ -292,7 +308,7 @@
 
     fn complete(&self, id: RequestId, completion: Completion) {
         let mut inner = self.lock();
-        inner.running.retain(|(running, _)| *running != id);
+        inner.running.retain(|running| running.id != id);
         if matches!(completion, Completion::Answered | Completion::Failed) {
             inner.completed += 1;
         }
@@ -378,14 +394,16 @@
 
 impl Permit {
     /// Records that the request is handed to the target.
-    pub fn record_run(&self, run: Run) {
-        self.admission.lock().running.push((self.id, run));
+    pub fn record_run(&self, run: Run, is_repeat: bool) {
+        let id = self.id;
+        let running = Running { id, run, is_repeat };
+        self.admission.lock().running.push(running);
     }
 
     /// Records that the request did not reach the target after all.
     pub fn retract_run(&self) {
         let mut inner = self.admission.lock();
-        inner.running.retain(|(running, _)| *running != self.id);
+        inner.running.retain(|running| running.id != self.id);
     }
 
     /// Releases the permit and records how the request ended.
--- a/crates/basilbay_daemon/src/attempt.rs
+++ b/crates/basilbay_daemon/src/attempt.rs
@@ -77,7 +77,14 @@
         let delay = self.shard.router().hedge_delay().filter(|_| may_hedge);
         let first_id = pick.id.clone();
         let suspect = attempts.may_have_run() || self.was_aborted();
-        let first = self.attempt(pick, attempts, body, suspect, may_repeat);
+        let options = Options {
+            role: Role::Run,
+            allowance: attempts.allowance.downstream(),
+            may_wait: pick.may_wait,
+            suspect,
+            repeat: attempts.is_repeat(),
+        };
+        let first = self.attempt(pick, attempts, options, body, may_repeat);
         let Some(delay) = delay else {
             return first.await;
         };
@@ -91,7 +98,14 @@
         // A request that crashes targets may run beside this one and be hedged as well. The hedge is
         // marked as suspect, so that the two do not share a second target: after two shared crashes it
         // would be impossible to determine which of them is the cause.
-        let second = self.attempt(pick, attempts, body, true, may_repeat);
+        let options = Options {
+            allowance: attempts.allowance.downstream(),
+            may_wait: pick.may_wait,
+            suspect: true,
+            repeat: true,
+            ..options
+        };
+        let second = self.attempt(pick, attempts, options, body, may_repeat);
         tokio::pin!(second);
         let (first_done, last_done) = tokio::select! {
             completion = &mut first => {
@@ -148,16 +162,10 @@
         self,
         pick: Pick,
         attempts: &Attempts,
+        options: Options,
         body: Body,
-        suspect: bool,
         may_repeat: bool,
     ) -> impl Future<Output = Completion> + use<'a> {
-        let options = Options {
-            role: Role::Run,
-            allowance: attempts.allowance.downstream(),
-            may_wait: pick.may_wait,
-            suspect,
-        };
         self.send(pick.id, options, body, may_repeat.then_some(*attempts))
     }
 
--- a/crates/basilbay_daemon/src/call.rs
+++ b/crates/basilbay_daemon/src/call.rs
@@ -46,6 +46,8 @@
     /// Whether an earlier attempt was aborted by its target. Sibling daemons learn of a crash by
     /// datagram, which may arrive later than the next attempt, so the attempt carries the warning.
     pub suspect: bool,
+    /// Whether an earlier attempt may have reached a target.
+    pub repeat: bool,
 }
 
 /// A request without its body.
@@ -133,6 +135,7 @@
             config_version,
             may_wait: options.may_wait,
             suspect: options.suspect,
+            repeat: options.repeat,
             role: options.role,
             fingerprint: self.fingerprint,
         }
--- a/crates/basilbay_daemon/src/entry.rs
+++ b/crates/basilbay_daemon/src/entry.rs
@@ -164,10 +164,12 @@
     let Some(shard) = daemon.shard(&call.spec.service) else {
         return Reply::Problem(no_target(call));
     };
-    let attempts =
-        shard
-            .router()
-            .begin_call(call.spec.idempotent, call.deadline, call.spec.allowance);
+    let repeat_share = daemon.admission.repeat_share();
+    let attempts = {
+        let spec = &call.spec;
+        let mut router = shard.router();
+        router.begin_call(spec.idempotent, call.deadline, spec.allowance, repeat_share)
+    };
     let mut progress = Progress {
         call_id: daemon.next_call_id(),
         attempts,
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -94,7 +94,7 @@
         permit.finish(Completion::Cancelled);
         return Err(poisoned());
     }
-    permit.record_run(run);
+    permit.record_run(run, options.repeat);
     Ok((permit, run))
 }
 
--- a/crates/basilbay_routing/src/retry.rs
+++ b/crates/basilbay_routing/src/retry.rs
@@ -67,9 +67,12 @@
         self.tokens = self.tokens.min(self.max_tokens);
     }
 
-    /// Credits the budget with a call.
-    pub fn deposit(&mut self) {
-        self.tokens = (self.tokens + self.ratio).min(self.max_tokens);
+    /// Credits the budget with a call, and charges it for the probability `repeat_share` that a repeated
+    /// run makes the call: then it is a repeat for the targets that are called. The charge may leave the
+    /// budget in debt, at most by what it may save up.
+    pub fn deposit(&mut self, repeat_share: f64) {
+        let tokens = self.tokens + self.ratio - repeat_share;
+        self.tokens = tokens.clamp(-self.max_tokens, self.max_tokens);
     }
 
     /// Takes one retry from the budget; returns whether there was one.
--- a/crates/basilbay_routing/src/router.rs
+++ b/crates/basilbay_routing/src/router.rs
@@ -318,9 +318,16 @@
         Some(Duration::from_secs_f64(typical_s * HEDGE_LATENCY_FACTOR).max(MIN_HEDGE_DELAY))
     }
 
-    /// Credits the retry budget with a call and starts counting its attempts.
-    pub fn begin_call(&mut self, idempotent: bool, deadline: Instant, allowance: u8) -> Attempts {
-        self.budget.deposit();
+    /// Credits the retry budget with a call and starts counting its attempts; `repeat_share` is the
+    /// probability that a repeated run makes the call.
+    pub fn begin_call(
+        &mut self,
+        idempotent: bool,
+        deadline: Instant,
+        allowance: u8,
+        repeat_share: f64,
+    ) -> Attempts {
+        self.budget.deposit(repeat_share);
         Attempts::new(idempotent, deadline, allowance)
     }
 
--- a/crates/basilbay_routing/tests/retry.rs
+++ b/crates/basilbay_routing/tests/retry.rs
@@ -13,7 +13,7 @@
     }
     let mut budget = Budget::new(100, now);
     for _ in 0..100 {
-        budget.deposit();
+        budget.deposit(0.0);
     }
     let mut attempts = Attempts::new(idempotent, now + Duration::from_secs(1), allowance);
     let mut runs = 0;
@@ -85,7 +85,7 @@
         let mut retries = 0_u32;
         for _ in 0..calls {
             now += Duration::from_micros(gap_us);
-            budget.deposit();
+            budget.deposit(0.0);
             if budget.withdraw(now) {
                 retries += 1;
             }
@@ -141,7 +141,7 @@
         let mut budget = Budget::new(100, now);
         budget.set_slack(200, Duration::from_secs(10), 1);
         for _ in 0..100 {
-            budget.deposit();
+            budget.deposit(0.0);
         }
         let available = |budget: &Budget| {
             let mut budget = budget.clone();
@@ -201,3 +201,35 @@
         prop_assert!(!attempts.should_retry(Failure::UNKNOWN, &mut budget, now));
     }
 }
+
+/// Guards against targets that receive more repeats than the budget allows because calls made by repeated
+/// runs are repeats too: in a fleet whose callers' runs are repeated as often as their budget
+/// allows, the targets that they call receive no more than theirs allows.
+#[test]
+fn calls_of_repeated_runs() {
+    const REQUESTS: u32 = 5_000;
+    let start = Instant::now();
+    for repeated_permille in [0, 50, 100, 150, 200] {
+        let mut budget = Budget::new(20, start);
+        budget.set_slack(100, Duration::from_secs(10), 10);
+        let mut repeats = 0;
+        let mut calls = 0;
+        let mut own = 0;
+        for n in 0..REQUESTS {
+            let now = start + Duration::from_millis(2 * u64::from(n));
+            calls += 1;
+            // One call in so many is made by a repeated run; which one is not known.
+            let is_by_repeat = n * repeated_permille / 1000 != (n + 1) * repeated_permille / 1000;
+            repeats += u32::from(is_by_repeat);
+            budget.deposit(f64::from(repeated_permille) / 1000.0);
+            own += u32::from(budget.withdraw(now));
+        }
+        repeats += own;
+        let allowed = calls / 5 + 10;
+        assert!(
+            repeats <= allowed,
+            "{repeated_permille} of 1,000 repeated: {repeats} repeats, {allowed} allowed"
+        );
+        assert!(repeated_permille > 150 || own > calls / 25, "{own} own repeats");
+    }
+}
--- a/crates/basilbay_wire/src/hop.rs
+++ b/crates/basilbay_wire/src/hop.rs
@@ -57,6 +57,9 @@
     /// target.
     #[serde(default)]
     pub suspect: bool,
+    /// Whether an earlier attempt may have reached a target, so that this run may be a repeat.
+    #[serde(default)]
+    pub repeat: bool,
     /// Role of the receiver.
     #[serde(default)]
     pub role: Role,
