Leave out list entries with unusable names or addresses

Report of another operator: one odd entry among those of the workers, and the machines that read the list ended or stopped following it.

But one with a service name of 1.2 MB made the list longer than a peer accepts, so no daemon could be given it by another; entries with port 0 or with an address that is none of a host, or of many, were listed and would be contacted.

Lists between daemons may take 16 MiB, as much as the adapter reads.

--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -16,10 +16,12 @@
 use basilbay_membership::node::{Identity, Node};
 use basilbay_membership::{pull, readiness::Readiness};
 use basilbay_model::id::{InstanceId, Version};
-use basilbay_model::roster::Timestamp;
+use basilbay_model::roster::{Roster, Timestamp};
 use basilbay_wire::control::{CONFIG_PATH, ConfigBody, PING_PATH, ROSTER_PATH, RosterBody};
 use basilbay_wire::datagram::{Body as Message, Datagram};
-use basilbay_wire::frame::{self, FORMAT_VERSION, MAX_CONTROL_BYTES, MAX_DATAGRAM_BYTES};
+use basilbay_wire::frame::{
+    self, FORMAT_VERSION, MAX_CONTROL_BYTES, MAX_DATAGRAM_BYTES, MAX_ROSTER_BYTES,
+};
 use basilbay_wire::load::State;
 
 use crate::body::{self, Body};
@@ -35,6 +37,9 @@
 /// paused.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of characters of an unusable instance's id that are logged.
+const MAX_LOGGED_ID: usize = 64;
+
 /// The membership node and its socket.
 #[derive(Debug)]
 pub struct Control {
@@ -231,7 +236,8 @@
         Source::Peer { id, address } => {
             let digest = content.map(|digest| format!("&digest={digest}"));
             let path = format!("{CONFIG_PATH}?have={have}{}", digest.unwrap_or_default());
-            let pulled = pull_from_peer::<ConfigBody>(&daemon, id, *address, &path).await;
+            let pulled =
+                pull_from_peer::<ConfigBody>(&daemon, id, *address, &path, MAX_CONTROL_BYTES).await;
             let now = Instant::now();
             let mut node = daemon.control.node();
             match pulled {
@@ -264,7 +270,7 @@
                 None => node.receive_config_unchanged(pull, now),
             }
             if let Some(roster) = update.roster {
-                node.receive_roster(Arc::new(roster), pull, now);
+                node.receive_roster(Arc::new(usable(roster)), pull, now);
             }
         }
         Err(error) => {
@@ -283,7 +289,8 @@
         Source::Peer { id, address } => {
             let digest = digest.map_or(String::new(), |digest| format!("&digest={digest}"));
             let path = format!("{ROSTER_PATH}?have={have}{digest}");
-            let pulled = pull_from_peer::<RosterBody>(&daemon, id, *address, &path).await;
+            let pulled =
+                pull_from_peer::<RosterBody>(&daemon, id, *address, &path, MAX_ROSTER_BYTES).await;
             let now = Instant::now();
             let mut node = daemon.control.node();
             match pulled {
@@ -314,7 +321,7 @@
             if let Some(text) = update.config {
                 node.receive_config_text(&text, pull, now);
             }
-            let mut roster = update.roster.unwrap_or_default();
+            let mut roster = usable(update.roster.unwrap_or_default());
             roster.sort();
             node.receive_roster(Arc::new(roster), pull, now);
         }
@@ -328,11 +335,25 @@
     }
 }
 
+/// Leaves out the instances that no daemon can use.
+fn usable(mut roster: Roster) -> Roster {
+    roster.instances.retain(|instance| {
+        let defect = instance.defect();
+        if let Some(defect) = defect {
+            let id: String = instance.id.chars().take(MAX_LOGGED_ID).collect();
+            tracing::warn!(?id, defect, "unusable instance; it is left out");
+        }
+        defect.is_none()
+    });
+    roster
+}
+
 async fn pull_from_peer<T: serde::de::DeserializeOwned>(
     daemon: &Daemon,
     peer: &InstanceId,
     address: SocketAddr,
     path: &str,
+    limit: usize,
 ) -> Result<T> {
     // The source address of a datagram may not accept connections; the address in the roster does.
     let listed = daemon
@@ -354,11 +375,11 @@
             "{path}: unexpected status {}",
             response.status()
         );
-        body::read_all(response.into_body(), MAX_CONTROL_BYTES).await
+        body::read_all(response.into_body(), limit).await
     };
     let bytes = tokio::time::timeout(pull::PEER_TIMEOUT, exchange).await??;
     daemon.control.traffic.record_pull(bytes.len());
-    Ok(frame::decode(&bytes, MAX_CONTROL_BYTES)?)
+    Ok(frame::decode(&bytes, limit)?)
 }
 
 /// Responds to another daemon's pull or ping; `None` if the path is not one of these.
--- a/crates/basilbay_model/src/roster.rs
+++ b/crates/basilbay_model/src/roster.rs
@@ -4,7 +4,7 @@
 //! rules for key ownership compare them only with each other, so the local clock may differ from
 //! that clock by the permitted clock skew.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
@@ -61,6 +61,45 @@
     pub leaving_at_ms: Option<Timestamp>,
 }
 
+/// Longest name in an instance, in bytes: that of a host name.
+pub const MAX_NAME_BYTES: usize = 255;
+
+impl Instance {
+    /// Returns why no daemon can use the instance; `None` if it is usable.
+    ///
+    /// A list may have entries of other writers. An unusable one must be left out, because all daemons
+    /// would contact its addresses and pass its names on.
+    pub fn defect(&self) -> Option<&'static str> {
+        let names = [&self.id, &self.service, &self.domain];
+        let region = Some(&self.region).filter(|region| !region.is_empty());
+        let mut names = names.into_iter().chain(region).chain(&self.target);
+        if !names.all(|name| is_usable_name(name)) {
+            return Some("a name is empty, too long or has control characters");
+        }
+        let addresses = [self.peer, self.admin, self.listen];
+        if !addresses.into_iter().all(is_contactable) {
+            return Some("an address is no address of a host");
+        }
+        None
+    }
+}
+
+/// Whether a name has 1 to [`MAX_NAME_BYTES`] bytes and no control characters.
+pub fn is_usable_name(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len()) && !name.contains(char::is_control)
+}
+
+/// Whether connections to an address may be opened: its port is not 0, and its IP address is that of one
+/// host.
+pub fn is_contactable(address: SocketAddr) -> bool {
+    let is_broadcast = match address.ip() {
+        IpAddr::V4(ip) => ip.is_broadcast(),
+        IpAddr::V6(_) => false,
+    };
+    let ip = address.ip();
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
 fn empty_region() -> RegionId {
     RegionId::from("")
 }
--- a/crates/basilbay_wire/src/frame.rs
+++ b/crates/basilbay_wire/src/frame.rs
@@ -18,6 +18,9 @@
 /// Largest control body: a configuration of 1 MB plus 64 KB for the surrounding message.
 pub const MAX_CONTROL_BYTES: usize = 1024 * 1024 + 64 * 1024;
 
+/// Largest instance list between daemons.
+pub const MAX_ROSTER_BYTES: usize = 16 * 1024 * 1024;
+
 /// Largest header value with an encoded message, and largest message in it.
 pub const MAX_HEADER_BYTES: usize = 4096;
 
