Ask the siblings for refused requests when a daemon starts

It asks its siblings until one answers. They report the crashes of all targets, its own included, so that its next report continues the counts that they know.

Evidence: restarted_daemons; it needs the messages that this commit adds.

--- a/crates/basilbay_daemon/src/control.rs
+++ b/crates/basilbay_daemon/src/control.rs
@@ -143,6 +143,8 @@
         }
         Message::Leaving => daemon.control.node().receive_leaving(origin, now),
         Message::Suspicions(suspicions) => daemon.suspects.merge(origin, suspicions, now),
+        Message::SuspectsWanted => daemon.suspects.send_to(daemon, source, now),
+        Message::Suspects(reports) => daemon.suspects.restore(daemon, reports, now),
     }
     apply_actions(daemon);
 }
--- a/crates/basilbay_daemon/src/daemon.rs
+++ b/crates/basilbay_daemon/src/daemon.rs
@@ -46,7 +46,7 @@
 use crate::serving;
 use crate::settings::Settings;
 use crate::source::Source;
-use crate::suspects::Tracker;
+use crate::suspects::{self, Tracker};
 use crate::traffic::Traffic;
 use crate::{admin, stop};
 
@@ -232,6 +232,7 @@
         tokio::spawn(health::poll_load(self.clone()));
         tokio::spawn(health::probe_on_demand(self.clone()));
         tokio::spawn(admin::serve(self.clone()));
+        tokio::spawn(suspects::request_restore(self.clone()));
         tokio::spawn(evict_keys(self.clone()));
         tokio::spawn(report_metrics(self.clone()));
         tokio::spawn(stop::on_signal(self.clone()));
--- a/crates/basilbay_daemon/src/suspects.rs
+++ b/crates/basilbay_daemon/src/suspects.rs
@@ -6,15 +6,16 @@
 //! when it is no longer one.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use basilbay_events::catalogue;
 use basilbay_events::emit;
 use basilbay_keys::suspect::{self, Disposition, Run, Suspects};
 use basilbay_model::id::{InstanceId, ServiceId};
 use basilbay_model::roster::State as InstanceState;
-use basilbay_wire::datagram::{Body, Suspicion};
+use basilbay_wire::datagram::{Body, Report, Suspicion};
 
 use crate::daemon::Daemon;
 use crate::response::Reply;
@@ -26,6 +27,15 @@
 /// another target.
 const SENDS: usize = 2;
 
+/// Maximum number of reports in a datagram, which have a target each.
+const MAX_REPORTS_PER_DATAGRAM: usize = 4;
+
+/// Time between two requests for the siblings' suspects after the start.
+const RESTORE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Number of such requests without an answer after which the daemon gives up: no sibling runs.
+const MAX_RESTORE_REQUESTS: u32 = 100;
+
 /// Suspects of the local service, and requests sent from this daemon that their target aborted.
 #[derive(Debug)]
 pub struct Tracker {
@@ -33,6 +43,8 @@
     /// Requests sent from this daemon that their target aborted. A caller may retry before the siblings
     /// of the target have received the suspicion, so the retry itself is marked as suspect.
     aborted: Mutex<Suspects>,
+    /// Whether a sibling has sent its suspects.
+    is_restored: AtomicBool,
 }
 
 impl Tracker {
@@ -41,6 +53,7 @@
         Self {
             suspects: Mutex::new(Suspects::new(service.clone())),
             aborted: Mutex::new(Suspects::new(service)),
+            is_restored: AtomicBool::new(false),
         }
     }
 
@@ -124,6 +137,29 @@
         }
     }
 
+    /// Sends the requests that are refused to a sibling that has started.
+    pub fn send_to(&self, daemon: &Daemon, sibling: SocketAddr, now: Instant) {
+        let local_id = &daemon.settings.id;
+        let reports = lock(&self.suspects).reports(local_id, now);
+        let mut chunks: Vec<&[Report]> = reports.chunks(MAX_REPORTS_PER_DATAGRAM).collect();
+        if chunks.is_empty() {
+            chunks.push(&[]);
+        }
+        for chunk in chunks {
+            let body = Body::Suspects(chunk.to_vec());
+            daemon.control.send(local_id, body, sibling);
+        }
+    }
+
+    /// Merges the suspects that a sibling sent after this daemon started.
+    pub fn restore(&self, daemon: &Daemon, reports: &[Report], now: Instant) {
+        self.is_restored.store(true, Ordering::Release);
+        lock(&self.suspects).restore(&daemon.settings.id, reports, now);
+        if !reports.is_empty() {
+            emit!(catalogue::SUSPECTS_RESTORED, reports = reports.len());
+        }
+    }
+
     /// Whether the target aborted this request when this daemon last sent it.
     pub fn was_aborted(&self, fingerprint: u64, now: Instant) -> bool {
         lock(&self.aborted).check(fingerprint, false, now) != Disposition::Unrestricted
@@ -144,22 +180,38 @@
     }
 }
 
+/// Asks the siblings for their suspects until one answers. The target may have run on while its daemon
+/// was restarted, and so may the callers that resend a request.
+pub async fn request_restore(daemon: Arc<Daemon>) {
+    let mut requests = 0;
+    while requests < MAX_RESTORE_REQUESTS && !daemon.suspects.is_restored.load(Ordering::Acquire) {
+        for sibling in siblings(&daemon) {
+            let body = Body::SuspectsWanted;
+            daemon.control.send(&daemon.settings.id, body, sibling);
+        }
+        requests += 1;
+        tokio::time::sleep(RESTORE_INTERVAL).await;
+    }
+}
+
 fn lock(suspects: &Mutex<Suspects>) -> MutexGuard<'_, Suspects> {
     suspects.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Returns the addresses of the daemons of all sibling instances.
+fn siblings(daemon: &Daemon) -> Vec<SocketAddr> {
+    let view = daemon.view();
+    let service = view.roster.of_service(&daemon.settings.service);
+    let others = service.filter(|instance| instance.id != daemon.settings.id);
+    others.map(|instance| instance.peer).collect()
+}
+
 /// Sends suspicions to the daemons of all sibling instances.
 fn broadcast(daemon: &Daemon, suspicions: &[Suspicion]) {
     if suspicions.is_empty() {
         return;
     }
-    let view = daemon.view();
-    let siblings: Vec<SocketAddr> = view
-        .roster
-        .of_service(&daemon.settings.service)
-        .filter(|instance| instance.id != daemon.settings.id)
-        .map(|instance| instance.peer)
-        .collect();
+    let siblings = siblings(daemon);
     for chunk in suspicions.chunks(MAX_PER_DATAGRAM) {
         let body = Body::Suspicions(chunk.to_vec());
         for address in siblings.iter().cycle().take(siblings.len() * SENDS) {
--- a/crates/basilbay_daemon/tests/fleet_common/recorder.rs
+++ b/crates/basilbay_daemon/tests/fleet_common/recorder.rs
@@ -109,7 +109,9 @@
                 heartbeat.state,
             ),
             Body::Leaving => Message::Leaving,
-            Body::Load(_) | Body::Suspicions(_) => continue,
+            Body::Load(_) | Body::Suspicions(_) | Body::SuspectsWanted | Body::Suspects(_) => {
+                continue;
+            }
         };
         record(&mut lock(&messages), &datagram.origin, message);
     }
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -142,6 +142,8 @@
         "A request that is refused runs once, to find out whether it still crashes targets." "Nothing.";
     REQUEST_COMPLETED 502 Info "request-completed"
         "A suspect request completed; it is cleared, or its next trial is due." "Nothing.";
+    SUSPECTS_RESTORED 503 Info "suspects-restored"
+        "A sibling sent the requests that it refuses to this daemon, which has started." "Nothing.";
     EDITS_MISMATCH 600 Warning "edits-mismatch"
         "Edits from a peer did not produce the announced digest; the full text is pulled."
         "If it recurs, look for daemons of different builds.";
--- a/crates/basilbay_keys/src/suspect.rs
+++ b/crates/basilbay_keys/src/suspect.rs
@@ -14,12 +14,13 @@
 //!
 //! Daemons of one service report to each other how often their own target crashed with a request in
 //! flight. The counts of all targets are added up. A report carries the totals of its target, so a
-//! duplicate changes nothing. All daemons choose the target of the trials alike, see [`tester`].
+//! duplicate changes nothing. A daemon that starts asks the others for what they know, since its target
+//! runs on. All daemons choose the target of the trials alike, see [`tester`].
 
 use std::time::{Duration, Instant};
 
 use basilbay_model::id::{InstanceId, ServiceId};
-use basilbay_wire::datagram::Suspicion;
+use basilbay_wire::datagram::{Report, Suspicion};
 
 use crate::digest;
 
@@ -36,6 +37,9 @@
 /// Maximum number of suspects; beyond it, the oldest are evicted.
 pub const MAX_SUSPECTS: usize = 1024;
 
+/// Maximum number of refused requests of which a daemon that starts is told.
+pub const MAX_RESTORED: usize = 64;
+
 /// Length of the body prefix that identifies a request without a key.
 pub const BODY_PREFIX_BYTES: usize = 4096;
 
@@ -228,6 +232,41 @@
     /// Applies a report of the daemon `origin` about its target; 0 crashes mean that the request
     /// has completed there.
     pub fn merge(&mut self, origin: &InstanceId, report: &Suspicion, now: Instant) {
+        self.merge_from(Some(origin.clone()), report, now);
+    }
+
+    /// Applies what a sibling knows of crashes of all targets; `local_id` is the local instance, whose
+    /// daemon may have started after such a crash.
+    pub fn restore(&mut self, local_id: &InstanceId, reports: &[Report], now: Instant) {
+        for report in reports.iter().filter(|report| report.suspicion.crashes > 0) {
+            let target = Some(&report.origin).filter(|origin| *origin != local_id);
+            self.merge_from(target.cloned(), &report.suspicion, now);
+        }
+    }
+
+    /// Returns what a daemon that starts needs to know: the crashes of all targets with requests that
+    /// are refused, for at most [`MAX_RESTORED`] requests.
+    pub fn reports(&self, local_id: &InstanceId, now: Instant) -> Vec<Report> {
+        let entries = self.entries.iter().filter(|entry| now < entry.expires_at);
+        let refused = entries.filter(|entry| entry.total() > 1);
+        let mut reports = Vec::new();
+        for entry in refused.take(MAX_RESTORED) {
+            for (target, crashes) in &entry.crashes {
+                reports.push(Report {
+                    origin: target.as_ref().unwrap_or(local_id).clone(),
+                    suspicion: Suspicion {
+                        crashes: crashes.total,
+                        isolated: crashes.isolated,
+                        trials: crashes.trials,
+                        ..self.clearance(entry.fingerprint, false)
+                    },
+                });
+            }
+        }
+        reports
+    }
+
+    fn merge_from(&mut self, target: Target, report: &Suspicion, now: Instant) {
         if report.service != self.service {
             return;
         }
@@ -238,7 +277,7 @@
         }
         let entry = self.entry_mut(report.fingerprint, now);
         let rounds = entry.rounds();
-        let crashes = entry.crashes_mut(Some(origin.clone()));
+        let crashes = entry.crashes_mut(target);
         crashes.total = report.crashes.max(crashes.total);
         crashes.isolated = report.isolated.max(crashes.isolated);
         crashes.trials = report.trials.max(crashes.trials);
--- a/crates/basilbay_keys/tests/suspect.rs
+++ b/crates/basilbay_keys/tests/suspect.rs
@@ -269,6 +269,25 @@
     );
 }
 
+/// Guards against daemons that restart in turn and each let the request crash their target again.
+#[test]
+fn restarted_daemons() {
+    let now = Instant::now();
+    let mut fleet = fleet(4);
+    for at in [0, 1] {
+        let run = begin(&mut fleet, at, POISON, now);
+        crash(&mut fleet, at, &[run], now);
+    }
+    for at in 0..4 {
+        let reports = fleet[(at + 1) % 4].reports(&id((at + 1) % 4), now);
+        fleet[at] = Suspects::new(SERVICE.into());
+        fleet[at].restore(&id(at), &reports, now);
+        assert_eq!(dispositions(&fleet, POISON, now), [Disposition::Refused; 4]);
+    }
+    let trials = crashing_trials(&mut fleet, now, Duration::from_secs(90));
+    assert_eq!(trials, 2);
+}
+
 /// Guards against a trial whose end is never known and that keeps the request refused.
 #[test]
 fn lost_trial() {
--- a/crates/basilbay_wire/src/datagram.rs
+++ b/crates/basilbay_wire/src/datagram.rs
@@ -45,6 +45,15 @@
     pub is_trial: bool,
 }
 
+/// What a daemon knows of a suspicion, its own or that of a sibling.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Instance whose target crashed.
+    pub origin: InstanceId,
+    /// The suspicion as that instance reported it.
+    pub suspicion: Suspicion,
+}
+
 /// Payload of a datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -63,6 +72,10 @@
     Leaving,
     /// Requests that were in flight during a crash, or that are cleared of suspicion.
     Suspicions(Vec<Suspicion>),
+    /// The sender has started and asks its siblings for the requests that they refuse.
+    SuspectsWanted,
+    /// Requests that the sender refuses; may be empty.
+    Suspects(Vec<Report>),
 }
 
 /// A payload with its sender.
