Count a crash as evidence although its report arrives late

A target that crashed with an isolated run of a request that had just been cleared counted as evidence by itself: the request stayed isolated for 600 s, as its completions no longer cleared it (innocent_request: crashes of two targets 20 ms apart). A crash now confirms an earlier one that still counts, and a request with one crash is cleared by any completion.

resent_poison failed once on a busy machine, with the third send at a target instead of refused: the second target did not know of the first crash yet, so its own did not count as evidence. The daemon that resends a request knows that a target aborted it, and now tells the next one (hop field `aborted`); a crash of such a run is evidence by itself. late_report guards against it.

--- a/crates/basilbay_daemon/src/attempt.rs
+++ b/crates/basilbay_daemon/src/attempt.rs
@@ -76,12 +76,13 @@
         let may_repeat = attempts.idempotent && payload.is_replayable();
         let delay = self.shard.router().hedge_delay().filter(|_| may_hedge);
         let first_id = pick.id.clone();
-        let suspect = attempts.may_have_run() || self.was_aborted();
+        let aborted = self.was_aborted();
         let options = Options {
             role: Role::Run,
             allowance: attempts.allowance.downstream(),
             may_wait: pick.may_wait,
-            suspect,
+            suspect: attempts.may_have_run() || aborted,
+            aborted,
             repeat: attempts.is_repeat(),
         };
         let first = self.attempt(pick, attempts, options, body, may_repeat);
--- a/crates/basilbay_daemon/src/call.rs
+++ b/crates/basilbay_daemon/src/call.rs
@@ -46,6 +46,8 @@
     /// Whether an earlier attempt was aborted by its target. Sibling daemons learn of a crash by
     /// datagram, which may arrive later than the next attempt, so the attempt carries the warning.
     pub suspect: bool,
+    /// Whether a target aborted the request when this daemon last sent it.
+    pub aborted: bool,
     /// Whether an earlier attempt may have reached a target.
     pub repeat: bool,
 }
@@ -135,6 +137,7 @@
             config_version,
             may_wait: options.may_wait,
             suspect: options.suspect,
+            aborted: options.aborted,
             repeat: options.repeat,
             role: options.role,
             fingerprint: self.fingerprint,
--- a/crates/basilbay_daemon/src/hop.rs
+++ b/crates/basilbay_daemon/src/hop.rs
@@ -202,6 +202,7 @@
                 allowance: hop.allowance,
                 may_wait: hop.may_wait,
                 suspect: hop.suspect,
+                aborted: hop.aborted,
                 repeat: hop.repeat,
             };
             target::run(daemon, &call, options, body).await
--- a/crates/basilbay_daemon/src/owner.rs
+++ b/crates/basilbay_daemon/src/owner.rs
@@ -143,6 +143,7 @@
         allowance: call.spec.allowance,
         may_wait: true,
         suspect: false,
+        aborted: false,
         repeat: false,
     };
     let exchange = hop::send(
--- a/crates/basilbay_daemon/src/suspects.rs
+++ b/crates/basilbay_daemon/src/suspects.rs
@@ -17,6 +17,7 @@
 use basilbay_model::roster::State as InstanceState;
 use basilbay_wire::datagram::{Body, Report, Suspicion};
 
+use crate::call::Call;
 use crate::daemon::Daemon;
 use crate::response::Reply;
 
@@ -63,8 +64,10 @@
         lock(&self.suspects).check(fingerprint, is_tester, now)
     }
 
-    /// Returns how a request runs that is handed to the target now.
-    pub fn begin(&self, daemon: &Daemon, fingerprint: u64, deadline: Instant) -> Run {
+    /// Returns how a request runs that is handed to the target now; `was_aborted` tells whether a target
+    /// aborted it before, as the daemon that sent it knows.
+    pub fn begin(&self, daemon: &Daemon, call: &Call, was_aborted: bool) -> Run {
+        let (fingerprint, deadline) = (call.fingerprint, call.deadline);
         let now = Instant::now();
         let is_tester = self.is_tester(daemon, fingerprint);
         let disposition = lock(&self.suspects).begin(fingerprint, is_tester, deadline, now);
@@ -77,6 +80,7 @@
         Run {
             fingerprint,
             disposition,
+            was_aborted,
         }
     }
 
@@ -90,11 +94,10 @@
     /// Records a completed run; a suspect that it clears is cleared at the siblings as well.
     pub fn record_completion(&self, daemon: &Daemon, run: Run, now: Instant) {
         let cleared = lock(&self.suspects).record_completion(run, now);
-        if cleared.is_some() {
+        if run.disposition == Disposition::Trial {
             emit!(
-                catalogue::REQUEST_COMPLETED,
+                catalogue::REQUEST_CLEARED,
                 fingerprint = format!("{:016x}", run.fingerprint),
-                disposition = ?run.disposition,
             );
         }
         broadcast(daemon, cleared.as_slice());
@@ -168,10 +171,7 @@
     /// Records the result of an attempt that this daemon sent.
     pub fn record_attempt(&self, fingerprint: u64, reply: &Reply, now: Instant) {
         let mut aborted = lock(&self.aborted);
-        let run = Run {
-            fingerprint,
-            disposition: Disposition::Unrestricted,
-        };
+        let run = Run::unrestricted(fingerprint);
         if reply.is_aborted() {
             aborted.record_crash(&[run], now);
         } else if matches!(reply, Reply::Response(_)) {
--- a/crates/basilbay_daemon/src/target.rs
+++ b/crates/basilbay_daemon/src/target.rs
@@ -81,7 +81,7 @@
         return Err(problem);
     }
     // A crash may have been reported while the request was queued.
-    let mut run = suspects.begin(daemon, call.fingerprint, call.deadline);
+    let mut run = suspects.begin(daemon, call, options.aborted);
     if run.disposition.is_isolated() && !requirements.suspect {
         // The request became a suspect while it was queued, so others may run beside it.
         suspects.cancel_trial(run);
--- a/crates/basilbay_daemon/tests/common/call.rs
+++ b/crates/basilbay_daemon/tests/common/call.rs
@@ -229,6 +229,7 @@
         allowance: 0,
         may_wait: true,
         suspect: false,
+        aborted: false,
         repeat: false,
         depth: 0,
         origin: "tests".into(),
--- a/crates/basilbay_daemon/tests/invalid_input.rs
+++ b/crates/basilbay_daemon/tests/invalid_input.rs
@@ -158,6 +158,7 @@
         allowance: 0,
         may_wait: true,
         suspect: false,
+        aborted: false,
         repeat: false,
         depth: 0,
         origin: "desk-9".into(),
--- a/crates/basilbay_events/src/catalogue.rs
+++ b/crates/basilbay_events/src/catalogue.rs
@@ -140,8 +140,8 @@
         "Check the target's log for what the request does.";
     REQUEST_TRIAL 501 Info "request-trial"
         "A request that is refused runs once, to find out whether it still crashes targets." "Nothing.";
-    REQUEST_COMPLETED 502 Info "request-completed"
-        "A suspect request completed; it is cleared, or its next trial is due." "Nothing.";
+    REQUEST_CLEARED 502 Info "request-cleared"
+        "The trial of a refused request completed; it is no longer refused." "Nothing.";
     SUSPECTS_RESTORED 503 Info "suspects-restored"
         "A sibling sent the requests that it refuses to this daemon, which has started." "Nothing.";
     EDITS_MISMATCH 600 Warning "edits-mismatch"
--- a/crates/basilbay_keys/src/suspect.rs
+++ b/crates/basilbay_keys/src/suspect.rs
@@ -70,6 +70,20 @@
     pub fingerprint: u64,
     /// Disposition with which the run began.
     pub disposition: Disposition,
+    /// Whether a target had aborted the request before, as the daemon that sent it knows: reports of
+    /// crashes may arrive later than the request.
+    pub was_aborted: bool,
+}
+
+impl Run {
+    /// A run that began when no crash with the request in flight was known.
+    pub fn unrestricted(fingerprint: u64) -> Self {
+        Self {
+            fingerprint,
+            disposition: Disposition::Unrestricted,
+            was_aborted: false,
+        }
+    }
 }
 
 /// Target of another daemon of the service, or `None` for the local target.
@@ -199,18 +213,23 @@
     }
 
     fn record_crash_of(&mut self, runs: &[Run], now: Instant) -> Suspicion {
-        let has = |disposition| u32::from(runs.iter().any(|run| run.disposition == disposition));
         let fingerprint = runs[0].fingerprint;
         let entry = self.entry_mut(fingerprint, now);
         let rounds = entry.rounds();
+        // If the request was cleared meanwhile, no earlier crash is left that this one confirms.
+        let is_suspect = entry.total() > 0;
+        let is_trial = |run: &Run| is_suspect && run.disposition == Disposition::Trial;
+        let is_isolated =
+            |run: &Run| run.was_aborted || is_suspect && run.disposition == Disposition::Isolated;
         let crashes = entry.crashes_mut(None);
         crashes.total += 1;
-        crashes.isolated += has(Disposition::Isolated);
-        crashes.trials += has(Disposition::Trial);
-        let crashes = *crashes;
-        if crashes.trials > 0 {
-            entry.trial_ends_at = None;
+        if runs.iter().any(is_trial) {
+            crashes.trials += 1;
+        } else if runs.iter().any(is_isolated) {
+            crashes.isolated += 1;
         }
+        let crashes = *crashes;
+        entry.trial_ends_at = None;
         entry.schedule_trial(rounds, now);
         Suspicion {
             crashes: crashes.total,
@@ -300,7 +319,7 @@
             return false;
         };
         let entry = &mut self.entries[index];
-        if is_trial || entry.rounds() == 0 {
+        if is_trial || entry.rounds() == 0 || entry.total() == 1 {
             self.entries.remove(index);
             return true;
         }
--- a/crates/basilbay_keys/tests/suspect.rs
+++ b/crates/basilbay_keys/tests/suspect.rs
@@ -54,8 +54,9 @@
 /// Index of the daemon whose target runs the trials of a request.
 fn tester(fleet: &[Suspects], fingerprint: u64) -> usize {
     let ids: Vec<InstanceId> = (0..fleet.len()).map(id).collect();
-    let tester = suspect::tester(fingerprint, ids.iter()).unwrap();
-    ids.iter().position(|id| id == tester).unwrap()
+    let tester = suspect::tester(fingerprint, ids.iter());
+    let position = ids.iter().position(|id| Some(id) == tester);
+    position.expect("the tester is one of the instances")
 }
 
 /// Dispositions of a request at all daemons.
@@ -74,6 +75,7 @@
     Run {
         fingerprint,
         disposition: fleet[at].begin(fingerprint, is_tester, deadline, now),
+        was_aborted: false,
     }
 }
 
@@ -113,7 +115,10 @@
     let mut fleet = fleet(3);
     let in_flight = [POISON, BYSTANDER].map(|it| begin(&mut fleet, 0, it, now));
     crash(&mut fleet, 0, &in_flight, now);
-    assert_eq!(dispositions(&fleet, BYSTANDER, now), [Disposition::Isolated; 3]);
+    assert_eq!(
+        dispositions(&fleet, BYSTANDER, now),
+        [Disposition::Isolated; 3]
+    );
     let run = begin(&mut fleet, 1, BYSTANDER, now);
     complete(&mut fleet, 1, run, now);
     let run = begin(&mut fleet, 2, POISON, now);
@@ -253,7 +258,10 @@
     let mut delay = FIRST_TRIAL_DELAY;
     for _ in 0..2 {
         let early = now + delay - Duration::from_millis(1);
-        assert_eq!(dispositions(&fleet, POISON, early), [Disposition::Refused; 4]);
+        assert_eq!(
+            dispositions(&fleet, POISON, early),
+            [Disposition::Refused; 4]
+        );
         now += delay;
         run = begin(&mut fleet, tester, POISON, now);
         assert_eq!(run.disposition, Disposition::Trial);
@@ -288,6 +296,24 @@
     assert_eq!(trials, 2);
 }
 
+/// Guards against a request that takes a third target because the report of the first crash arrives later
+/// than the request at the second target.
+#[test]
+fn late_report() {
+    let now = Instant::now();
+    let mut fleet = fleet(4);
+    let run = begin(&mut fleet, 0, POISON, now);
+    let late = fleet[0].record_crash(&[run], now);
+    let run = begin(&mut fleet, 1, POISON, now);
+    let run = Run {
+        was_aborted: true,
+        ..run
+    };
+    crash(&mut fleet, 1, &[run], now);
+    deliver(&mut fleet, 0, late, now);
+    assert_eq!(dispositions(&fleet, POISON, now), [Disposition::Refused; 4]);
+}
+
 /// Guards against a trial whose end is never known and that keeps the request refused.
 #[test]
 fn lost_trial() {
@@ -298,7 +324,7 @@
         fleet[at].record_crash(&[run], now);
     }
     crash(&mut fleet, 0, &[], now);
-    let runs = [0, 1].map(|at| fleet[at].record_crash(&[Run { fingerprint: POISON, disposition: Disposition::Unrestricted }], now));
+    let runs = [0, 1].map(|at| fleet[at].record_crash(&[Run::unrestricted(POISON)], now));
     for (at, reports) in runs.into_iter().enumerate() {
         deliver(&mut fleet, at, reports, now);
     }
@@ -323,10 +349,7 @@
     let now = Instant::now();
     let mut fleet = fleet(4);
     for at in [0, 1] {
-        let in_flight = [POISON, BYSTANDER].map(|fingerprint| Run {
-            fingerprint,
-            disposition: Disposition::Unrestricted,
-        });
+        let in_flight = [POISON, BYSTANDER].map(Run::unrestricted);
         crash(&mut fleet, at, &in_flight, now);
     }
     for fingerprint in [BYSTANDER, POISON] {
@@ -382,10 +405,7 @@
 /// Guards against suspects that never expire and against unbounded growth.
 #[test]
 fn bounded_suspects() {
-    let run = |fingerprint| Run {
-        fingerprint,
-        disposition: Disposition::Unrestricted,
-    };
+    let run = Run::unrestricted;
     let start = Instant::now();
     let mut suspects = Suspects::new(SERVICE.into());
     suspects.record_crash(&[run(0)], start);
--- a/crates/basilbay_routing/tests/retry.rs
+++ b/crates/basilbay_routing/tests/retry.rs
@@ -229,6 +229,9 @@
             repeats <= allowed,
             "{repeated_permille} of 1,000 repeated: {repeats} repeats, {allowed} allowed"
         );
-        assert!(repeated_permille > 150 || own > calls / 25, "{own} own repeats");
+        assert!(
+            repeated_permille > 150 || own > calls / 25,
+            "{own} own repeats"
+        );
     }
 }
--- a/crates/basilbay_wire/src/hop.rs
+++ b/crates/basilbay_wire/src/hop.rs
@@ -57,6 +57,9 @@
     /// target.
     #[serde(default)]
     pub suspect: bool,
+    /// Whether a target aborted the request when the sender last sent it.
+    #[serde(default)]
+    pub aborted: bool,
     /// Whether an earlier attempt may have reached a target, so that this run may be a repeat.
     #[serde(default)]
     pub repeat: bool,
