Test that a crash within a streamed response counts as a crash

A streamed response cleared its request with the head, and its end by a crash was not recorded, so a request that crashes its targets after the head was never refused.

--- a/crates/basilbay_daemon/tests/poison.rs
+++ b/crates/basilbay_daemon/tests/poison.rs
@@ -13,9 +13,11 @@
 
 use basilbay_fakes::proxy::fault::Faults;
 use basilbay_fakes::targets::fault::{Change, Crash};
-use basilbay_fakes::targets::response::POISON;
+use basilbay_fakes::targets::response::{BODY_BYTES, MAX_BODY_BYTES, POISON};
 use basilbay_wire::problem::{Cause, Outcome};
 use futures::future::join_all;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use call::Call;
 use fleet::{Fleet, Plan};
@@ -230,3 +232,29 @@
         .await
         .assert_problem(Cause::Poisoned, Outcome::NotRun);
 }
+
+/// Guards against a poison request that is taken for completed because its target sent the head of a
+/// streamed response before it crashed.
+#[tokio::test(flavor = "multi_thread")]
+async fn crash_while_streaming() {
+    let fleet = Fleet::start(Plan::new(&[("desk", 2), ("shop", 1)])).await;
+    let entry = fleet.entry("shop-1");
+    for _ in 0..2 {
+        let mut stream = TcpStream::connect(entry).await.expect("a connection");
+        let request = format!(
+            "GET /read/stream HTTP/1.1\r\nhost: desk\r\n{BODY_BYTES}: {MAX_BODY_BYTES}\r\n\r\n"
+        );
+        let sent = stream.write_all(request.as_bytes()).await;
+        sent.expect("the request is sent");
+        let mut start = [0; 1_000];
+        let read = stream.read_exact(&mut start).await;
+        read.expect("the start of the response");
+        crash_targets(&fleet, &["desk-1", "desk-2"]);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        fleet.wait_until_serving().await;
+    }
+    let reply = Call::new(http::Method::GET, "/read/stream")
+        .reply(entry)
+        .await;
+    reply.assert_problem(Cause::Poisoned, Outcome::NotRun);
+}
