Ask three siblings at a time for refused requests

Each daemon that started asked all siblings every 50 ms: with a service of 100 targets that start together, 10,000 datagrams at once and as many answers. It now asks three at a time, at most 20 times, and only daemons that have been told themselves answer.

--- a/crates/basilbay_daemon/src/suspects.rs
+++ b/crates/basilbay_daemon/src/suspects.rs
@@ -34,8 +34,12 @@
 /// Time between two requests for the siblings' suspects after the start.
 const RESTORE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Number of such requests without an answer after which the daemon gives up: no sibling runs.
-const MAX_RESTORE_REQUESTS: u32 = 100;
+/// Number of siblings that are asked at a time, so that the traffic does not grow with the fleet.
+const RESTORE_SIBLINGS: usize = 3;
+
+/// Number of such requests without an answer after which the daemon gives up: all siblings may have
+/// started at the same time.
+const MAX_RESTORE_REQUESTS: usize = 20;
 
 /// Suspects of the local service, and requests sent from this daemon that their target aborted.
 #[derive(Debug)]
@@ -44,7 +48,7 @@
     /// Requests sent from this daemon that their target aborted. A caller may retry before the siblings
     /// of the target have received the suspicion, so the retry itself is marked as suspect.
     aborted: Mutex<Suspects>,
-    /// Whether a sibling has sent its suspects.
+    /// Whether a sibling has sent its suspects, or none of them has any.
     is_restored: AtomicBool,
 }
 
@@ -140,8 +144,12 @@
         }
     }
 
-    /// Sends the requests that are refused to a sibling that has started.
+    /// Sends the requests that are refused to a sibling that has started. A daemon that has not received
+    /// them itself does not answer, since the sibling would ask nobody else.
     pub fn send_to(&self, daemon: &Daemon, sibling: SocketAddr, now: Instant) {
+        if !self.is_restored.load(Ordering::Acquire) {
+            return;
+        }
         let local_id = &daemon.settings.id;
         let reports = lock(&self.suspects).reports(local_id, now);
         let mut chunks: Vec<&[Report]> = reports.chunks(MAX_REPORTS_PER_DATAGRAM).collect();
@@ -183,15 +191,21 @@
 /// Asks the siblings for their suspects until one answers. The target may have run on while its daemon
 /// was restarted, and so may the callers that resend a request.
 pub async fn request_restore(daemon: Arc<Daemon>) {
+    let first = daemon.next_seed() as usize;
     let mut requests = 0;
     while requests < MAX_RESTORE_REQUESTS && !daemon.suspects.is_restored.load(Ordering::Acquire) {
-        for sibling in siblings(&daemon) {
+        let siblings = siblings(&daemon);
+        let start = first % siblings.len().max(1) + requests * RESTORE_SIBLINGS;
+        let asked = siblings.iter().cycle().skip(start);
+        for sibling in asked.take(RESTORE_SIBLINGS.min(siblings.len())) {
             let body = Body::SuspectsWanted;
-            daemon.control.send(&daemon.settings.id, body, sibling);
+            daemon.control.send(&daemon.settings.id, body, *sibling);
         }
-        requests += 1;
+        // Without a roster there is nobody to ask yet.
+        requests += usize::from(daemon.view().roster.version > 0);
         tokio::time::sleep(RESTORE_INTERVAL).await;
     }
+    daemon.suspects.is_restored.store(true, Ordering::Release);
 }
 
 fn lock(suspects: &Mutex<Suspects>) -> MutexGuard<'_, Suspects> {
