--- a/crates/basilbay_keys/tests/suspect.rs
+++ b/crates/basilbay_keys/tests/suspect.rs
@@ -369,6 +369,25 @@
     assert_eq!(dispositions(&fleet, POISON, now), [Disposition::Refused; 4]);
 }
 
+/// Guards against never refusing the cause when its first two crashes involve the same other
+/// request.
+#[test]
+fn third_crash() {
+    let now = Instant::now();
+    let mut fleet = fleet(4);
+    for at in [0, 1] {
+        let in_flight = [POISON, BYSTANDER].map(Run::unrestricted);
+        crash(&mut fleet, at, &in_flight, now);
+    }
+    let tester = tester(&fleet, POISON);
+    let run = begin(&mut fleet, tester, POISON, now);
+    crash(&mut fleet, tester, &[run], now);
+    for daemon in &fleet {
+        assert_eq!(daemon.check(POISON, false, now), Disposition::Refused);
+        assert_eq!(daemon.check(POISON, true, now), Disposition::Refused);
+    }
+}
+
 /// Guards against counting a duplicate datagram as a second crash.
 #[test]
 fn repeated_datagram() {
